Add the design page, the workspace and the shared types

Cause: nothing existed yet.

Change: docs/design.md with requirements, decisions, contracts and messages; six packages with lock file, formatter, linter, strict types and import contracts; operators' text schema; peer messages with their Thrift codec; contracts between daemon tasks.

--- /dev/null
+++ b/features/core/codec.feature
@@ -0,0 +1,23 @@
+Feature: Messages between daemons survive the wire unchanged
+
+  Scenario Outline: A message is decoded as it was encoded
+    Given a peer message "<name>" with sample content
+    When it is encoded and decoded
+    Then the result equals the original
+
+    Examples:
+      | name           |
+      | Ping           |
+      | ConfigText     |
+      | Release        |
+      | ClaimReply     |
+      | ClaimRequest   |
+
+  Scenario: Malformed bytes are refused with a typed error
+    When 2000 random byte strings with seed 7 are decoded
+    Then each gives either a message or a codec error
+
+  Scenario: A truncated message is refused with a typed error
+    Given a peer message "ClaimReply" with sample content
+    When every proper prefix of its encoding is decoded
+    Then each gives either a message or a codec error
--- /dev/null
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Local fleets, the demo and the measurements of banyanshelf."""
--- /dev/null
+++ b/packages/banyanshelf-client/src/banyanshelf_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client of banyanshelf."""
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic load-balancing decisions of banyanshelf, free of I/O."""
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/hashing.py
@@ -0,0 +1,36 @@
+"""Digests and rendezvous ranking."""
+
+from collections.abc import Iterable
+from hashlib import sha256
+
+import xxhash
+
+
+def digest(content: bytes) -> str:
+    """Return the SHA-256 digest of ``content`` in hexadecimal."""
+    return sha256(content).hexdigest()
+
+
+def rank_members(key: str, member_ids: Iterable[str]) -> list[str]:
+    """Order members by rendezvous hashing for ``key``, the preferred one first.
+
+    Removing a member changes the rank of no other pair of members, so that only the
+    roles of that member move.
+
+    Example:
+        ``rank_members("service/desk", ["a", "b", "c"])[0]`` coordinates the service.
+
+    """
+    return sorted(
+        member_ids,
+        key=lambda member_id: (
+            xxhash.xxh3_64_intdigest(f"{key}\x00{member_id}".encode()),
+            member_id,
+        ),
+        reverse=True,
+    )
+
+
+def shard_of(key_digest: str, shard_count: int) -> int:
+    """Return the claim shard of a key digest."""
+    return xxhash.xxh3_64_intdigest(key_digest.encode()) % shard_count
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -0,0 +1,247 @@
+"""Schema of the operators' text.
+
+The text is TOML. Example::
+
+    [services.desk]
+    hosts = ["desk.umujyi.example"]
+    slots_per_upstream = 3
+    depends_on = ["catalogue"]
+
+    [[services.desk.routes]]
+    path_prefix = "/payments"
+    methods = ["POST"]
+    require_key = true
+
+"""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Literal
+
+import msgspec
+
+from banyanshelf_core.errors import TextError
+
+PolicyName = Literal["permits", "random", "two_choices", "reports"]
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Exception to a service's rules for some paths and methods.
+
+    ``idempotent`` of ``None`` judges by the HTTP method. ``require_key`` refuses
+    non-idempotent calls that carry no idempotency key.
+    """
+
+    path_prefix: str = "/"
+    methods: list[str] = []
+    idempotent: bool | None = None
+    require_key: bool = False
+    timeout_ms: int | None = None
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A group of interchangeable upstreams and the rules for calls to it.
+
+    Times are in milliseconds. ``weight`` is the share of a gateway's concurrency
+    relative to other services. ``retry_share`` is the part of recent calls that may be
+    retried or hedged. ``caller_weights`` gives the share of this service by calling
+    service; others have 1.
+    """
+
+    hosts: list[str] = []
+    path_prefixes: list[str] = ["/"]
+    depends_on: list[str] = []
+    slots_per_upstream: int = 3
+    connections_per_upstream: int = 200
+    timeout_ms: int = 2000
+    queue_limit: int = 512
+    weight: int = 1
+    caller_weights: dict[str, int] = {}
+    idempotency_header: str = "Idempotency-Key"
+    credential_header: str = "Authorization"
+    retry_share: float = 0.1
+    max_attempts: int = 3
+    hedge: bool = True
+    routes: list[Route] = []
+
+
+class Measuring(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Budgets for measuring load and for control traffic.
+
+    ``probe_share`` is the part of an upstream's slot time over 60 s that probes may
+    use. ``control_bytes_per_second`` is the budget of each daemon for messages to other
+    daemons.
+    """
+
+    probe_share: float = 0.005
+    probe_path: str = "/healthz"
+    probe_cost_ms: int = 6
+    control_bytes_per_second: int = 65536
+
+
+class Claims(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """How long claims are kept, and how large a kept answer may be in bytes."""
+
+    retention_s: int = 86_400
+    kept_answer_bytes: int = 16_384
+
+
+class Protection(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Limits against harmful requests and failing upstreams."""
+
+    crash_limit: int = 2
+    crash_quarantine_s: int = 600
+    ramp_ms: int = 5000
+    eject_after_failures: int = 3
+
+
+class OperatorText(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """The whole operators' text."""
+
+    policy: PolicyName = "permits"
+    measuring: Measuring = Measuring()
+    claims: Claims = Claims()
+    protection: Protection = Protection()
+    services: dict[str, Service]
+
+
+def parse_text(content: str) -> OperatorText:
+    """Parse and check an operators' text.
+
+    Raises :class:`TextError` with the place, the problem and the remedy.
+    """
+    try:
+        raw = tomllib.loads(content)
+    except tomllib.TOMLDecodeError as error:
+        raise TextError(
+            "text", f"not valid TOML ({error})", "correct the syntax"
+        ) from error
+    try:
+        text = msgspec.convert(raw, OperatorText)
+    except msgspec.ValidationError as error:
+        raise TextError(*_explain(str(error))) from error
+    check_text(text)
+    return text
+
+
+def check_text(text: OperatorText) -> None:
+    """Check what the schema cannot express; raises :class:`TextError`."""
+    if not text.services:
+        raise TextError(
+            "services", "no service is defined", "add a [services.NAME] table"
+        )
+    _check_measuring(text.measuring)
+    for name, service in text.services.items():
+        _check_service(name, service, text.services)
+    _check_acyclic(text.services)
+
+
+def _explain(message: str) -> tuple[str, str, str]:
+    problem, _, place = message.partition(" - at ")
+    where = place.strip("`").removeprefix("$").removeprefix(".") or "text"
+    if "unknown field" in problem:
+        remedy = "remove the key or correct its spelling"
+    elif "missing required" in problem:
+        remedy = "add the key"
+    else:
+        remedy = "write a value of the expected type"
+    return where, problem, remedy
+
+
+def _check_measuring(measuring: Measuring) -> None:
+    if not 0 <= measuring.probe_share <= 1:
+        raise TextError(
+            "measuring.probe_share",
+            f"{measuring.probe_share} is no share of slot time",
+            "write a number from 0 to 1",
+        )
+    if measuring.control_bytes_per_second < 1024:
+        raise TextError(
+            "measuring.control_bytes_per_second",
+            f"{measuring.control_bytes_per_second} carries no heartbeats",
+            "write at least 1024",
+        )
+
+
+def _check_service(name: str, service: Service, services: dict[str, Service]) -> None:
+    where = f"services.{name}"
+    for other in service.depends_on:
+        if other not in services:
+            raise TextError(
+                f"{where}.depends_on",
+                f"service {other!r} is not defined",
+                f"define [services.{other}] or remove it from the list",
+            )
+    lowest_by_key = {
+        "slots_per_upstream": 1,
+        "connections_per_upstream": 1,
+        "timeout_ms": 1,
+        "queue_limit": 1,
+        "weight": 1,
+        "max_attempts": 1,
+    }
+    for key, lowest in lowest_by_key.items():
+        if getattr(service, key) < lowest:
+            raise TextError(
+                f"{where}.{key}",
+                f"{getattr(service, key)} is too small",
+                f"write at least {lowest}",
+            )
+    if not 0 <= service.retry_share <= 1:
+        raise TextError(
+            f"{where}.retry_share",
+            f"{service.retry_share} is no share of calls",
+            "write a number from 0 to 1",
+        )
+    prefixes = service.path_prefixes + [route.path_prefix for route in service.routes]
+    for prefix in prefixes:
+        if not prefix.startswith("/"):
+            raise TextError(
+                f"{where}",
+                f"path prefix {prefix!r} has no leading slash",
+                "start it with /",
+            )
+    _check_no_shared_match(name, service, services)
+
+
+def _check_no_shared_match(
+    name: str,
+    service: Service,
+    services: dict[str, Service],
+) -> None:
+    for other_name, other in services.items():
+        if other_name <= name:
+            continue
+        hosts = set(service.hosts or ["*"]) & set(other.hosts or ["*"])
+        prefixes = set(service.path_prefixes) & set(other.path_prefixes)
+        if hosts and prefixes:
+            raise TextError(
+                f"services.{other_name}",
+                f"requests for {sorted(hosts)[0]}{sorted(prefixes)[0]} match service "
+                f"{name!r} too",
+                "give each service its own hosts or path_prefixes",
+            )
+
+
+def _check_acyclic(services: dict[str, Service]) -> None:
+    finished: set[str] = set()
+
+    def visit(name: str, path: list[str]) -> None:
+        if name in finished:
+            return
+        if name in path:
+            cycle = " -> ".join([*path[path.index(name) :], name])
+            raise TextError(
+                f"services.{name}.depends_on",
+                f"dependency cycle {cycle}",
+                "remove one of these dependencies",
+            )
+        for other in services[name].depends_on:
+            visit(other, [*path, name])
+        finished.add(name)
+
+    for name in services:
+        visit(name, [])
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The banyanshelf gateway daemon."""
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
@@ -0,0 +1,176 @@
+"""Contracts between the daemon's tasks.
+
+Each task depends on the others only through these protocols, so that it can be tested
+with a small fake in place of its neighbours.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, Protocol, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from banyanshelf_core.errors import BanyanshelfError
+from banyanshelf_core.messages import (
+    AnswerSample,
+    ClaimOutcome,
+    ClaimStatus,
+    PeerMessage,
+    StoredAnswer,
+)
+from banyanshelf_core.model import Member, MemberId, ServiceName, Upstream, UpstreamId
+from banyanshelf_core.text import OperatorText
+
+MessageT = TypeVar("MessageT")
+
+
+class NotAdmittedError(BanyanshelfError):
+    """A call that got no permit; the request was not run."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(f"{reason}; try again in {retry_after_s:.1f} s")
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class PermitRequest(NamedTuple):
+    """What a call needs to be admitted.
+
+    ``deadline`` is in seconds of the reactor clock.
+    ``excluded`` holds upstreams that earlier attempts of the same call have used.
+    ``only_idle`` fails at once unless a permit is idle at this gateway (for hedges).
+    """
+
+    request_id: str
+    caller_service: str
+    depth: int
+    deadline: float
+    idempotent: bool
+    excluded: frozenset[UpstreamId] = frozenset()
+    only_idle: bool = False
+
+
+class Permit(NamedTuple):
+    """The right to run one call on one slot of an upstream.
+
+    ``reason`` and ``candidates`` go into the decision log. ``epoch_number`` is 0 for a
+    permit from the local share.
+    """
+
+    upstream: Upstream
+    epoch_number: int
+    reason: str
+    candidates: int
+
+
+class ClaimDecision(NamedTuple):
+    """Answer to a claim; ``answer`` is set for ``ClaimStatus.COMPLETED`` only."""
+
+    status: ClaimStatus
+    attempt_id: str
+    answer: StoredAnswer | None = None
+
+
+class ActiveText(NamedTuple):
+    """The operators' text in effect at this daemon."""
+
+    version: int
+    digest: str
+    text: OperatorText
+
+
+class PermitService(Protocol):
+    """Admits calls to upstreams."""
+
+    def acquire(
+        self,
+        service_name: ServiceName,
+        request: PermitRequest,
+    ) -> Deferred[Permit]:
+        """Wait for a permit; cancelling the Deferred gives up the place in the queue.
+
+        Fails with :class:`NotAdmittedError`.
+        """
+
+    def release(self, permit: Permit, sample: AnswerSample) -> None:
+        """Give a permit back with the result of its attempt."""
+
+
+class ClaimService(Protocol):
+    """Claims idempotency keys, fleet-wide."""
+
+    def claim(
+        self,
+        service_name: ServiceName,
+        key_digest: str,
+        body_digest: str,
+        wait_s: float,
+    ) -> Deferred[ClaimDecision]:
+        """Claim a key; never fails, but may decide ``ClaimStatus.UNAVAILABLE``."""
+
+    def complete(
+        self,
+        attempt_id: str,
+        outcome: ClaimOutcome,
+        answer: StoredAnswer | None,
+    ) -> Deferred[None]:
+        """Record how a granted attempt ended.
+
+        Fires once it is recorded in the store.
+        """
+
+
+class ConfigurationSource(Protocol):
+    """The operators' text in effect."""
+
+    def active(self) -> ActiveText | None:
+        """Return the text in effect, or None before the first one has arrived."""
+
+    def on_change(self, handler: Callable[[ActiveText], None]) -> None:
+        """Call ``handler`` for each newly adopted version."""
+
+
+class MembershipSource(Protocol):
+    """The gateways that are live from this daemon's point of view."""
+
+    def members_by_id(self) -> Mapping[MemberId, Member]:
+        """Return the live members, this daemon included."""
+
+    def on_members_change(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` after each change of the live members."""
+
+
+class UpstreamDirectory(Protocol):
+    """The upstreams of each service: the host list with first-hand notices applied."""
+
+    def upstreams_by_id(
+        self, service_name: ServiceName
+    ) -> Mapping[UpstreamId, Upstream]:
+        """Return the known upstreams of a service, leaving ones included."""
+
+    def report_leaving(self, upstream_id: UpstreamId, reason: str) -> None:
+        """Tell every member that the upstream signalled that it is leaving."""
+
+    def on_upstreams_change(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` after each change of any service's upstreams."""
+
+
+class PeerNetwork(Protocol):
+    """Links to the other daemons."""
+
+    def send(self, member_id: MemberId, message: PeerMessage) -> bool:
+        """Send a message; returns False if no link is up (a link is then opened)."""
+
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message to every other live member."""
+
+    def subscribe(
+        self,
+        message_class: type[Any],
+        handler: Callable[[MemberId, Any], None],
+    ) -> None:
+        """Call ``handler(sender, message)`` for each received message of a class."""
+
+    def on_link_change(self, handler: Callable[[MemberId, bool], None]) -> None:
+        """Call ``handler(member_id, is_up)`` when a link comes up or goes down."""
--- /dev/null
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers in tests and demos."""
--- /dev/null
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between banyanshelf daemons and their Thrift codec."""
