--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/configuration.py
@@ -0,0 +1,277 @@
+"""Which version of the operators' text is in effect at one member.
+
+Versions only grow. A text is adopted if its version is higher than the one in effect,
+its digest matches and it can be parsed. Versions spread by notices and pings between
+members; the store is one more source.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from banyanshelf_core.errors import TextError
+from banyanshelf_core.hashing import digest as digest_of
+from banyanshelf_core.messages import Ack, ConfigFetch, ConfigNotice, ConfigText, Ping
+from banyanshelf_core.model import MemberId, Send
+from banyanshelf_core.text import OperatorText, parse_text
+
+NOTIFIED_MEMBERS = 3
+FETCH_TIMEOUT_S = 1.0
+# At start, peers and the store have this long to answer with a newer version.
+START_COLLECT_S = 1.0
+MAX_OFFERS = 16
+MAX_UNUSABLE = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """Effect: a version is in effect from now on."""
+
+    version: int
+    digest: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFromStore:
+    """Effect: read the parts of this version from the store."""
+
+    version: int
+    digest: str
+    parts: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """Effect: a text was not adopted; ``source`` is a member id or ``store``."""
+
+    version: int
+    digest: str
+    source: str
+    reason: str
+
+
+ConfigurationMessage = ConfigNotice | ConfigFetch | ConfigText | Ping | Ack
+ConfigurationEffect = Send | Adopted | ReadFromStore | Rejected
+STORE_SOURCE = "store"
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    version: int
+    digest: str
+    text: str
+    parsed: OperatorText
+
+
+@dataclass(slots=True)
+class _Fetch:
+    member_id: MemberId
+    version: int
+    deadline: float
+
+
+class ConfigurationKeeper:
+    """Keeps the version in effect and moves to higher ones.
+
+    Before the first version, candidates are collected from the store and up to three
+    peers until all of them have answered or ``START_COLLECT_S`` has passed since the
+    first candidate. The highest one is adopted, so that a stale source does not bring
+    an earlier version into effect.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._peers: list[MemberId] = []
+        self._current: _Candidate | None = None
+        self._candidate: _Candidate | None = None
+        self._adopt_at = 0.0
+        self._asked: set[MemberId] = set()
+        self._store_answered = False
+        self._offers: dict[int, dict[MemberId, str]] = {}
+        self._fetch: _Fetch | None = None
+        self._unusable: list[str] = []
+
+    @property
+    def version(self) -> int:
+        """The version in effect; 0 before the first one."""
+        return self._current.version if self._current else 0
+
+    @property
+    def digest(self) -> str:
+        """The digest of the text in effect; empty before the first one."""
+        return self._current.digest if self._current else ""
+
+    @property
+    def text(self) -> str:
+        """The text in effect; empty before the first one."""
+        return self._current.text if self._current else ""
+
+    @property
+    def parsed(self) -> OperatorText | None:
+        """The parsed text in effect, or None before the first one."""
+        return self._current.parsed if self._current else None
+
+    @property
+    def offers(self) -> dict[int, dict[MemberId, str]]:
+        """Digests of higher versions, by version and the member that offered it."""
+        return self._offers
+
+    def set_peers(
+        self, member_ids: Iterable[MemberId], now: float
+    ) -> list[ConfigurationEffect]:
+        """Set the other live members; before the first version, ask up to three."""
+        self._peers = sorted(member_ids)
+        self._asked &= set(self._peers)
+        effects: list[ConfigurationEffect] = []
+        if self._current is None:
+            unasked = [each for each in self._peers if each not in self._asked]
+            room = NOTIFIED_MEMBERS - len(self._asked)
+            for each in self._rng.sample(unasked, max(0, min(room, len(unasked)))):
+                self._asked.add(each)
+                effects.append(Send(each, ConfigFetch(0)))
+        return effects + self._settle(now)
+
+    def link_up(self, member_id: MemberId) -> list[ConfigurationEffect]:
+        """Ask a peer again if the request may have been lost before its link was up."""
+        if self._current is None and member_id in self._asked:
+            return [Send(member_id, ConfigFetch(0))]
+        return []
+
+    def store_head(
+        self, version: int, digest: str, parts: int, now: float
+    ) -> list[ConfigurationEffect]:
+        """Handle the head record of the store."""
+        if version <= self._known_version() or digest in self._unusable:
+            return self.store_empty(now)
+        return [ReadFromStore(version, digest, parts)]
+
+    def store_empty(self, now: float) -> list[ConfigurationEffect]:
+        """Record that the store has no higher version."""
+        self._store_answered = True
+        return self._settle(now)
+
+    def store_text(
+        self, version: int, digest: str, text: str, now: float
+    ) -> list[ConfigurationEffect]:
+        """Handle a text that was read from the store."""
+        self._store_answered = True
+        return self._offer(STORE_SOURCE, ConfigText(version, digest, text), now)
+
+    def receive(
+        self, sender: MemberId, message: ConfigurationMessage, now: float
+    ) -> list[ConfigurationEffect]:
+        """Handle a message from another member."""
+        match message:
+            case Ping() | Ack():
+                effects = self._announced(
+                    sender, message.config_version, message.config_digest, now
+                )
+            case ConfigNotice():
+                self._answered(sender)
+                effects = self._announced(sender, message.version, message.digest, now)
+            case ConfigFetch():
+                return [Send(sender, self._answer(message))]
+            case ConfigText():
+                self._answered(sender)
+                effects = self._offer(sender, message, now)
+        return effects + self._settle(now)
+
+    def tick(self, now: float) -> list[ConfigurationEffect]:
+        """Retry a fetch that was not answered and end the collection at start."""
+        effects = self._settle(now)
+        if self._fetch is not None and now >= self._fetch.deadline:
+            self._drop_offers_of(self._fetch.member_id)
+            effects.extend(self._fetch_next(now))
+        return effects
+
+    def _known_version(self) -> int:
+        candidate = self._candidate.version if self._candidate else 0
+        return max(self.version, candidate)
+
+    def _answer(self, message: ConfigFetch) -> ConfigText | ConfigNotice:
+        current = self._current
+        if current is not None and current.version > message.above_version:
+            return ConfigText(current.version, current.digest, current.text)
+        return ConfigNotice(self.version, self.digest)
+
+    def _answered(self, sender: MemberId) -> None:
+        self._asked.discard(sender)
+        if self._fetch is not None and self._fetch.member_id == sender:
+            self._fetch = None
+
+    def _announced(
+        self, sender: MemberId, version: int, digest: str, now: float
+    ) -> list[ConfigurationEffect]:
+        if version <= self._known_version() or digest in self._unusable:
+            return []
+        if version not in self._offers and len(self._offers) >= MAX_OFFERS:
+            del self._offers[min(self._offers)]
+        self._offers.setdefault(version, {})[sender] = digest
+        if self._fetch is not None and self._fetch.version >= version:
+            return []
+        return self._fetch_next(now)
+
+    def _fetch_next(self, now: float) -> list[ConfigurationEffect]:
+        self._fetch = None
+        if not self._offers:
+            return []
+        version = max(self._offers)
+        member_id = self._rng.choice(sorted(self._offers[version]))
+        self._fetch = _Fetch(member_id, version, now + FETCH_TIMEOUT_S)
+        return [Send(member_id, ConfigFetch(self._known_version()))]
+
+    def _drop_offers_of(self, member_id: MemberId) -> None:
+        for version in list(self._offers):
+            self._offers[version].pop(member_id, None)
+            if not self._offers[version]:
+                del self._offers[version]
+
+    def _offer(
+        self, source: str, message: ConfigText, now: float
+    ) -> list[ConfigurationEffect]:
+        if message.version <= self._known_version():
+            return []
+        if digest_of(message.text.encode()) != message.digest:
+            return self._reject(source, message, "the digest does not match", now)
+        try:
+            parsed = parse_text(message.text)
+        except TextError as error:
+            self._unusable = [*self._unusable, message.digest][-MAX_UNUSABLE:]
+            self._offers.pop(message.version, None)
+            return self._reject(source, message, str(error), now)
+        candidate = _Candidate(message.version, message.digest, message.text, parsed)
+        for version in [each for each in self._offers if each <= candidate.version]:
+            del self._offers[version]
+        if self._candidate is None:
+            self._adopt_at = now + START_COLLECT_S
+        self._candidate = candidate
+        return self._settle(now)
+
+    def _reject(
+        self, source: str, message: ConfigText, reason: str, now: float
+    ) -> list[ConfigurationEffect]:
+        self._drop_offers_of(source)
+        rejected = Rejected(message.version, message.digest, source, reason)
+        return [rejected, *self._fetch_next(now)]
+
+    def _settle(self, now: float) -> list[ConfigurationEffect]:
+        candidate = self._candidate
+        if candidate is None:
+            return []
+        waits = bool(self._asked or self._offers) or not self._store_answered
+        if self._current is None and waits and now < self._adopt_at:
+            return []
+        self._candidate = None
+        self._asked = set()
+        self._current = candidate
+        notice = ConfigNotice(candidate.version, candidate.digest)
+        notified = self._rng.sample(
+            self._peers, min(NOTIFIED_MEMBERS, len(self._peers))
+        )
+        return [
+            Adopted(candidate.version, candidate.digest, candidate.text),
+            *(Send(each, notice) for each in notified),
+        ]
--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -44,6 +44,10 @@
     """This process has used its share of store calls; try again later."""
 
 
+class StoreRecordError(StoreError):
+    """A record of the store that cannot be read or fails its digest check."""
+
+
 class CodecError(BanyanshelfError):
     """A peer message that cannot be decoded; the link is closed."""
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -16,6 +16,7 @@
     ALIVE = "alive"
     SUSPECT = "suspect"
     REMOVED = "removed"
+    LEFT = "left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,17 +43,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Liveness probe with piggybacked membership updates and the version in force."""
+    """Liveness probe with piggybacked membership updates and the version in force.
+
+    ``view`` is a digest of the live members that the sender knows; 0 asks for the whole
+    list.
+    """
 
     sequence: int
     updates: list[MemberUpdate]
     config_version: int
     config_digest: str
+    view: int
 
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """Answer to a ping; ``subject`` is the member that was found alive."""
+    """Answer to a ping; ``subject`` is the member that was found alive.
+
+    An answer with sequence 0 carries updates only.
+    """
 
     sequence: int
     subject: str
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/store_transactions.py
@@ -0,0 +1,50 @@
+"""Values of the store's compare-and-swap interface, independent of its encoding."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class KeyValue(NamedTuple):
+    """A stored record; ``mod_revision`` grows with each write of the key."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class Compare(NamedTuple):
+    """Condition that a key was last written at ``mod_revision``; 0 means absent."""
+
+    key: str
+    mod_revision: int
+
+
+class Put(NamedTuple):
+    """A write; ``lease`` of 0 means that the record has no lease."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+class Transaction(NamedTuple):
+    """Writes that take effect together if every condition holds.
+
+    ``reads`` are answered in the same step if a condition does not hold.
+    """
+
+    compares: tuple[Compare, ...]
+    puts: tuple[Put, ...]
+    reads: tuple[str, ...] = ()
+
+
+class TransactionResult(NamedTuple):
+    """Whether the writes took effect, and the records read if they did not.
+
+    ``reads`` has one entry per key of the transaction's ``reads``, None if absent.
+    """
+
+    succeeded: bool
+    revision: int
+    reads: tuple[KeyValue | None, ...] = ()
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster.py
@@ -0,0 +1,275 @@
+"""Membership and configuration of this daemon: the state that all daemons share."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from logbook import Logger
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from banyanshelf_core.configuration import (
+    Adopted,
+    ConfigurationEffect,
+    ConfigurationKeeper,
+    ReadFromStore,
+    Rejected,
+)
+from banyanshelf_core.membership import (
+    MembersChanged,
+    MembershipEffect,
+    MembershipProtocol,
+    SelfRemoved,
+)
+from banyanshelf_core.messages import (
+    Ack,
+    ConfigFetch,
+    ConfigNotice,
+    ConfigText,
+    Hello,
+    Leaving,
+    Ping,
+    PingRequest,
+)
+from banyanshelf_core.model import Broadcast, Member, MemberId, Send
+from banyanshelf_core.store_records import ConfigHead
+from banyanshelf_daemon.cluster_store import MemberLease, StoreFollower
+from banyanshelf_daemon.interfaces import ActiveText, ClusterNetwork
+from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.store_client import StoreClient
+
+TICK_S = 0.1
+_MEMBERSHIP_MESSAGES: tuple[type, ...] = (Ping, Ack, PingRequest, Leaving)
+_CONFIGURATION_MESSAGES: tuple[type, ...] = (
+    Ping,
+    Ack,
+    ConfigNotice,
+    ConfigFetch,
+    ConfigText,
+)
+
+log = Logger("cluster")
+
+
+def own_member(settings: Settings, now: float) -> Member:
+    """Return this daemon as a member; a restart takes a higher incarnation.
+
+    ``now`` is in seconds since the epoch. A clock that was set back is harmless: the
+    others refute the lower incarnation.
+    """
+    return Member(
+        settings.member_id, settings.peer_listen, settings.zone, int(now * 1000)
+    )
+
+
+class Cluster:
+    """Implements ``MembershipSource`` and ``ConfigurationSource``.
+
+    Without the store, members are learned from the peers that make contact, and the
+    store is tried again for as long as the daemon runs.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        store: StoreClient,
+        network: ClusterNetwork,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._network = network
+        self._members = MembershipProtocol(network.identity, rng, reactor.seconds())
+        self._keeper = ConfigurationKeeper(rng)
+        self._follower = StoreFollower(reactor, store, rng, self)
+        self._lease = MemberLease(reactor, store, rng, lambda: self._members.identity)
+        self._active: ActiveText | None = None
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = reactor
+        self._reading_version = 0
+        self._member_handlers: list[Callable[[], None]] = []
+        self._removed_handlers: list[Callable[[], None]] = []
+        self._text_handlers: list[Callable[[ActiveText], None]] = []
+        network.subscribe(Hello, self._on_hello)
+        network.on_link_change(self._on_link_change)
+        for message_class in _MEMBERSHIP_MESSAGES:
+            network.subscribe(message_class, self._on_membership_message)
+        for message_class in _CONFIGURATION_MESSAGES:
+            network.subscribe(message_class, self._on_configuration_message)
+
+    # MembershipSource
+
+    def members_by_id(self) -> Mapping[MemberId, Member]:
+        """Return the live members, this daemon included."""
+        return self._members.members_by_id
+
+    def on_members_change(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` after each change of the live members."""
+        self._member_handlers.append(handler)
+
+    def on_self_removed(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` when the others have removed this daemon."""
+        self._removed_handlers.append(handler)
+
+    # ConfigurationSource
+
+    def active(self) -> ActiveText | None:
+        """Return the text in effect, or None before the first one has arrived."""
+        return self._active
+
+    def on_change(self, handler: Callable[[ActiveText], None]) -> None:
+        """Call ``handler`` for each newly adopted version."""
+        self._text_handlers.append(handler)
+
+    # Start, stop, status
+
+    def start(self) -> None:
+        """Take part in the group and follow the store; the links must listen."""
+        self._ticker.start(TICK_S, now=False)
+        self._lease.start()
+        self._follower.start()
+
+    def leave(self, roles: Sequence[str] = ()) -> Deferred[None]:
+        """Announce a planned stop and revoke the member record.
+
+        Pings are still answered until :meth:`stop`, so that calls in progress can
+        finish. Fires when the record is revoked or the store did not answer in time.
+        """
+        self._follower.stop()
+        self._run_membership(self._members.leave(list(roles)))
+        return self._lease.revoke()
+
+    def stop(self) -> None:
+        """Stop at once; without :meth:`leave` before, the others detect a failure."""
+        self._follower.stop()
+        self._lease.stop()
+        if self._ticker.running:
+            self._ticker.stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return members and version for the status page."""
+        offers = self._keeper.offers.items()
+        return {
+            "identity": self._members.identity._asdict(),
+            "members": {
+                member_id: member._asdict()
+                for member_id, member in sorted(self.members_by_id().items())
+            },
+            "suspects": sorted(self._members.suspects_by_id),
+            "removed": sorted(self._members.removed_by_id),
+            "config_version": self._keeper.version,
+            "config_digest": self._keeper.digest,
+            "config_offers": {str(version): dict(each) for version, each in offers},
+            "has_lease": self._lease.is_held,
+        }
+
+    # StoreListener
+
+    def on_members_read(self, members: list[Member]) -> None:
+        """Learn the members from the store."""
+        self._members.mark_complete()
+        self._run_membership(self._members.observe(members, self._reactor.seconds()))
+
+    def on_member_written(self, member: Member) -> None:
+        """Learn a new member or incarnation from the store."""
+        self._run_membership(self._members.observe([member], self._reactor.seconds()))
+
+    def on_head(self, head: ConfigHead | None) -> None:
+        """Compare the store's version with the one in effect."""
+        now = self._reactor.seconds()
+        if head is None:
+            self._run_configuration(self._keeper.store_empty(now))
+            return
+        effects = self._keeper.store_head(head.version, head.digest, head.parts, now)
+        self._run_configuration(effects)
+
+    def on_text(self, version: int, digest: str, text: str) -> None:
+        """Offer a text from the store."""
+        now = self._reactor.seconds()
+        self._run_configuration(self._keeper.store_text(version, digest, text, now))
+
+    def still_wanted(self, version: int) -> bool:
+        """Return whether no higher version is in effect or being read."""
+        return version == self._reading_version and version > self._keeper.version
+
+    # Messages and effects
+
+    def _tick(self) -> None:
+        now = self._reactor.seconds()
+        self._run_membership(self._members.tick(now))
+        self._run_configuration(self._keeper.tick(now))
+
+    def _on_hello(self, sender: MemberId, hello: Hello) -> None:
+        member = Member(hello.id, hello.address, hello.zone, hello.incarnation)
+        self._run_membership(self._members.on_hello(member, self._reactor.seconds()))
+
+    def _on_link_change(self, member_id: MemberId, is_up: bool) -> None:
+        if is_up:
+            self._run_configuration(self._keeper.link_up(member_id))
+
+    def _on_membership_message(
+        self, sender: MemberId, message: Ping | Ack | PingRequest | Leaving
+    ) -> None:
+        now = self._reactor.seconds()
+        self._run_membership(self._members.receive(sender, message, now))
+
+    def _on_configuration_message(
+        self,
+        sender: MemberId,
+        message: Ping | Ack | ConfigNotice | ConfigFetch | ConfigText,
+    ) -> None:
+        now = self._reactor.seconds()
+        self._run_configuration(self._keeper.receive(sender, message, now))
+
+    def _run_membership(self, effects: list[MembershipEffect]) -> None:
+        if self._network.identity != self._members.identity:
+            self._network.set_identity(self._members.identity)
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self._network.send(to, message)
+                case Broadcast(message):
+                    self._network.broadcast(message)
+                case SelfRemoved(_, reason):
+                    log.warn("roles dropped, incarnation raised: {}", reason)
+                    for handler in self._removed_handlers:
+                        handler()
+                case MembersChanged(joined, removed):
+                    log.info("members joined: {}; removed: {}", joined, removed)
+                    self._members_changed()
+
+    def _members_changed(self) -> None:
+        live = self._members.members_by_id
+        self._network.update_members(live, self._members.removed_by_id)
+        others = [each for each in live if each != self._members.identity.id]
+        now = self._reactor.seconds()
+        self._run_configuration(self._keeper.set_peers(others, now))
+        for handler in self._member_handlers:
+            handler()
+
+    def _run_configuration(self, effects: list[ConfigurationEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self._network.send(to, message)
+                case Adopted():
+                    self._adopt(effect)
+                case ReadFromStore(version, digest, parts):
+                    if version > self._reading_version:
+                        self._reading_version = version
+                        self._follower.read_text(version, digest, parts)
+                case Rejected():
+                    log.error("text not adopted: {}", effect)
+
+    def _adopt(self, adopted: Adopted) -> None:
+        parsed = self._keeper.parsed
+        if parsed is None:
+            return
+        log.info("version {} ({}) is in effect", adopted.version, adopted.digest)
+        self._active = ActiveText(adopted.version, adopted.digest, parsed)
+        self._members.set_version(adopted.version, adopted.digest)
+        self._network.set_budget(parsed.measuring.control_bytes_per_second)
+        for handler in self._text_handlers:
+            handler(self._active)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -0,0 +1,237 @@
+"""The store's part in the cluster: member records and configuration records."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from logbook import Logger
+from twisted.internet.defer import Deferred
+
+from banyanshelf_core.backoff import Backoff
+from banyanshelf_core.errors import StoreError, StoreRecordError
+from banyanshelf_core.model import Member
+from banyanshelf_core.store_records import (
+    CONFIG_HEAD_KEY,
+    MEMBERS_PREFIX,
+    ConfigHead,
+    MemberRecord,
+    decode_record,
+    encode_record,
+    join_parts,
+    member_key,
+    part_key,
+)
+from banyanshelf_core.store_transactions import KeyValue
+from banyanshelf_daemon.background import BackgroundTasks
+from banyanshelf_daemon.store_client import RangeResult, StoreClient
+from banyanshelf_daemon.store_watch import StoreWatch, WatchEvent
+
+LEASE_TTL_S = 30
+KEEPALIVE_S = 10.0
+# Several attempts fit into the rest of the lease after a missed keepalive.
+LEASE_BACKOFF_LIMIT_S = 5.0
+STORE_BACKOFF_LIMIT_S = 10.0
+
+log = Logger("cluster_store")
+
+
+class StoreListener(Protocol):
+    """Receives what the store's records say."""
+
+    def on_members_read(self, members: list[Member]) -> None:
+        """Handle the first reading of all member records."""
+
+    def on_member_written(self, member: Member) -> None:
+        """Handle a member record that was written."""
+
+    def on_head(self, head: ConfigHead | None) -> None:
+        """Handle the configuration head, None if there is none yet."""
+
+    def on_text(self, version: int, digest: str, text: str) -> None:
+        """Handle a configuration text that was read."""
+
+    def still_wanted(self, version: int) -> bool:
+        """Return whether a version that is being read is still needed."""
+
+
+class StoreFollower:
+    """Reads members and head once, then watches them; never gives up."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        store: StoreClient,
+        rng: random.Random,
+        listener: StoreListener,
+    ) -> None:
+        self._store = store
+        self._rng = rng
+        self._listener = listener
+        self._tasks = BackgroundTasks(reactor)
+        self._watches: dict[str, StoreWatch] = {}
+
+    def start(self) -> None:
+        """Follow the store until stopped."""
+        self._tasks.spawn(self._follow(), "store records")
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._tasks.stop()
+        for watch in self._watches.values():
+            watch.stop()
+        self._watches.clear()
+
+    def read_text(self, version: int, digest: str, parts: int) -> None:
+        """Read the parts of a version while it is still wanted."""
+        self._tasks.spawn(self._read_text(version, digest, parts), "text read")
+
+    async def _follow(self) -> None:
+        # Members come first, so that peers can be asked for newer versions.
+        result = await self._read(MEMBERS_PREFIX)
+        members = [decode_member(each) for each in result.records]
+        self._listener.on_members_read([each for each in members if each is not None])
+        self._watch(MEMBERS_PREFIX, result.revision + 1, self._on_member_event)
+        result = await self._read(CONFIG_HEAD_KEY)
+        if result.records:
+            self._on_head(result.records[0])
+        else:
+            self._listener.on_head(None)
+        self._watch(CONFIG_HEAD_KEY, result.revision + 1, self._on_head_event)
+
+    async def _read(self, prefix: str) -> RangeResult:
+        backoff = Backoff(self._rng, limit_s=STORE_BACKOFF_LIMIT_S)
+        while True:
+            try:
+                return await self._store.get_prefix(prefix)
+            except StoreError as error:
+                log.info("{} not read yet: {}", prefix, error)
+                await self._tasks.sleep(backoff.next_delay())
+
+    def _watch(
+        self, prefix: str, revision: int, on_event: Callable[[WatchEvent], None]
+    ) -> None:
+        self._watches[prefix] = self._store.watch(
+            prefix, revision, on_event, self._on_reset
+        )
+
+    def _on_reset(self) -> None:
+        self.stop()
+        self.start()
+
+    def _on_member_event(self, event: WatchEvent) -> None:
+        # A deleted record removes nobody: only pings tell whether a member is alive.
+        member = None if event.deleted else decode_member(event.record)
+        if member is not None:
+            self._listener.on_member_written(member)
+
+    def _on_head_event(self, event: WatchEvent) -> None:
+        if not event.deleted:
+            self._on_head(event.record)
+
+    def _on_head(self, record: KeyValue) -> None:
+        try:
+            head = decode_record(record.value, ConfigHead)
+        except StoreRecordError as error:
+            log.error("configuration head ignored: {}", error)
+            return
+        self._listener.on_head(head)
+
+    async def _read_text(self, version: int, digest: str, parts: int) -> None:
+        backoff = Backoff(self._rng, limit_s=STORE_BACKOFF_LIMIT_S)
+        while self._listener.still_wanted(version):
+            try:
+                content = []
+                for index in range(parts):
+                    record = await self._store.get(part_key(digest, index))
+                    content.append(record.value if record else b"")
+                text = join_parts(content, digest)
+            except StoreError as error:
+                log.info("version {} not read yet: {}", version, error)
+                await self._tasks.sleep(backoff.next_delay())
+                continue
+            self._listener.on_text(version, digest, text)
+            return
+
+
+class MemberLease:
+    """Keeps this daemon's leased record in the store."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        store: StoreClient,
+        rng: random.Random,
+        identity: Callable[[], Member],
+    ) -> None:
+        self._store = store
+        self._rng = rng
+        self._identity = identity
+        self._tasks = BackgroundTasks(reactor)
+        self._lease = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether a lease was granted and has not lapsed as far as is known."""
+        return self._lease != 0
+
+    def start(self) -> None:
+        """Write the record and renew it until stopped."""
+        self._tasks.spawn(self._hold(), "member record")
+
+    def stop(self) -> None:
+        """Stop renewing; the record lapses with its lease."""
+        self._tasks.stop()
+
+    def revoke(self) -> Deferred[None]:
+        """Delete the record; fires when it is gone or the store did not answer."""
+        self.stop()
+        return Deferred.fromCoroutine(self._revoke())
+
+    async def _hold(self) -> None:
+        backoff = Backoff(self._rng, limit_s=LEASE_BACKOFF_LIMIT_S)
+        written: Member | None = None
+        while True:
+            try:
+                if self._lease == 0:
+                    self._lease = await self._store.grant_lease(LEASE_TTL_S)
+                    written = None
+                if written != self._identity():
+                    written = await self._write()
+                backoff.reset()
+                await self._tasks.sleep(KEEPALIVE_S)
+                if await self._store.keep_lease(self._lease) <= 0:
+                    self._lease = 0
+            except StoreError as error:
+                log.info("member record not renewed: {}", error)
+                await self._tasks.sleep(backoff.next_delay())
+
+    async def _write(self) -> Member:
+        identity = self._identity()
+        record = encode_record(MemberRecord.from_member(identity))
+        try:
+            await self._store.put(member_key(identity.id), record, self._lease)
+        except StoreError:
+            # The lease may have lapsed, which the store reports as an error.
+            self._lease = 0
+            raise
+        return identity
+
+    async def _revoke(self) -> None:
+        lease, self._lease = self._lease, 0
+        if lease == 0:
+            return
+        try:
+            await self._store.revoke_lease(lease)
+        except StoreError as error:
+            log.info("member record not revoked, it lapses: {}", error)
+
+
+def decode_member(record: KeyValue) -> Member | None:
+    """Return the member of a record, or None if the record is unusable."""
+    try:
+        return decode_record(record.value, MemberRecord).to_member()
+    except StoreRecordError as error:
+        log.error("record {} ignored: {}", record.key, error)
+        return None
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -0,0 +1,259 @@
+"""The upstreams of each service: the platform's host list with first-hand notices."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from logbook import Logger
+from twisted.internet.defer import CancelledError, Deferred
+
+from banyanshelf_core.backoff import Backoff
+from banyanshelf_core.messages import UpstreamNotice
+from banyanshelf_core.model import (
+    MemberId,
+    ServiceName,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+)
+from banyanshelf_daemon.background import BackgroundTasks
+from banyanshelf_daemon.http_json import DiscardedBody, HttpConnections, read_body
+from banyanshelf_daemon.interfaces import PeerNetwork
+from banyanshelf_daemon.settings import Settings
+
+WAIT_S = 25
+ANSWER_TIMEOUT_S = WAIT_S + 5
+BODY_TIMEOUT_S = 10
+NOTICE_EXPIRY_S = 600.0
+BACKOFF_LIMIT_S = 5.0
+# A server that ignores Wait-Seconds is not asked more often than this.
+MIN_POLL_INTERVAL_S = 1.0
+# 7,700 upstreams take about 1 MB.
+MAX_LIST_BYTES = 16 * 1024 * 1024
+
+log = Logger("host_list")
+
+
+class HostList(msgspec.Struct, frozen=True):
+    """The content of the host list."""
+
+    hosts: list[Upstream]
+
+
+@dataclass(slots=True)
+class _Notice:
+    message: UpstreamNotice
+    expires: float
+    resent_to: set[MemberId] = field(default_factory=set)
+
+
+class HostDirectory:
+    """Implements ``UpstreamDirectory``.
+
+    The last list stays in effect while the host list is unreachable. A leaving notice
+    takes precedence over the list until the list itself says so, or drops the host, or
+    the notice expires.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        network: PeerNetwork,
+        agent: Any = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._url = settings.host_list_url
+        self._member_id = settings.member_id
+        self._network = network
+        self._backoff = Backoff(
+            rng or random.Random(settings.seed or None), limit_s=BACKOFF_LIMIT_S
+        )
+        self._connections = HttpConnections(reactor, agent)
+        self._tasks = BackgroundTasks(reactor)
+        self._version = ""
+        self._listed: dict[UpstreamId, Upstream] = {}
+        self._merged: dict[ServiceName, dict[UpstreamId, Upstream]] = {}
+        self._notices: dict[UpstreamId, _Notice] = {}
+        self._settled: dict[tuple[UpstreamId, MemberId], int] = {}
+        self._sequence = 0
+        self._expiry: Any = None
+        self._handlers: list[Callable[[], None]] = []
+        self._failures = 0
+        network.subscribe(UpstreamNotice, self._on_notice)
+        network.on_link_change(self._on_link_change)
+
+    # UpstreamDirectory
+
+    def upstreams_by_id(
+        self, service_name: ServiceName
+    ) -> Mapping[UpstreamId, Upstream]:
+        """Return the known upstreams of a service, leaving ones included."""
+        return self._merged.get(service_name, {})
+
+    def report_leaving(self, upstream_id: UpstreamId, reason: str) -> None:
+        """Tell every member that the upstream signalled that it is leaving."""
+        listed = self._listed.get(upstream_id)
+        if upstream_id in self._notices:
+            return
+        if listed is not None and listed.state is UpstreamState.LEAVING:
+            return
+        log.info("upstream {} is leaving: {}", upstream_id, reason)
+        now = self._reactor.seconds()
+        self._sequence = max(self._sequence + 1, int(now * 1000))
+        notice = UpstreamNotice(
+            upstream_id, UpstreamState.LEAVING.value, self._sequence, self._member_id
+        )
+        self._notices[upstream_id] = _Notice(notice, now + NOTICE_EXPIRY_S)
+        self._network.broadcast(notice)
+        self._changed()
+
+    def on_upstreams_change(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` after each change of any service's upstreams."""
+        self._handlers.append(handler)
+
+    # Start, stop, status
+
+    def start(self) -> None:
+        """Follow the host list."""
+        self._tasks.spawn(self._follow(), "host list")
+
+    def stop(self) -> Any:
+        """Stop following; returns a Deferred or None."""
+        self._tasks.stop()
+        if self._expiry is not None and self._expiry.active():
+            self._expiry.cancel()
+        return self._connections.stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return version, size and notices for the status page."""
+        return {
+            "version": self._version,
+            "hosts": len(self._listed),
+            "notices": sorted(self._notices),
+            "failures": self._failures,
+        }
+
+    # Notices
+
+    def _on_notice(self, sender: MemberId, notice: UpstreamNotice) -> None:
+        known = self._notices.get(notice.upstream)
+        if known is not None and notice.sequence <= known.message.sequence:
+            return
+        # The list has answered this notice already, so a late copy means nothing.
+        if notice.sequence <= self._settled.get((notice.upstream, notice.origin), 0):
+            return
+        if notice.state == UpstreamState.LIVE.value:
+            self._notices.pop(notice.upstream, None)
+        elif notice.state == UpstreamState.LEAVING.value:
+            expires = self._reactor.seconds() + NOTICE_EXPIRY_S
+            self._notices[notice.upstream] = _Notice(notice, expires)
+        self._changed()
+
+    def _on_link_change(self, member_id: MemberId, is_up: bool) -> None:
+        if not is_up:
+            return
+        for notice in self._notices.values():
+            is_own = notice.message.origin == self._member_id
+            if is_own and member_id not in notice.resent_to:
+                notice.resent_to.add(member_id)
+                self._network.send(member_id, notice.message)
+
+    def _expire(self) -> None:
+        now = self._reactor.seconds()
+        for upstream_id, notice in list(self._notices.items()):
+            if now >= notice.expires:
+                log.warn("leaving notice of upstream {} expired", upstream_id)
+                self._settle(upstream_id)
+        self._changed()
+
+    def _settle(self, upstream_id: UpstreamId) -> None:
+        message = self._notices.pop(upstream_id).message
+        self._settled[upstream_id, message.origin] = message.sequence
+
+    # The list
+
+    async def _follow(self) -> None:
+        while True:
+            asked_at = self._reactor.seconds()
+            try:
+                changed = await self._poll()
+                self._backoff.reset()
+                pause = MIN_POLL_INTERVAL_S - (self._reactor.seconds() - asked_at)
+            except CancelledError:
+                raise
+            except Exception as error:
+                self._failures += 1
+                log.info("host list is unreachable, the last one stays: {!r}", error)
+                changed = False
+                pause = self._backoff.next_delay()
+            if not changed and pause > 0:
+                await self._tasks.sleep(pause)
+
+    async def _poll(self) -> bool:
+        headers = {b"Wait-Seconds": [str(WAIT_S).encode()]}
+        if self._version:
+            headers[b"If-Version-Changed"] = [self._version.encode()]
+        request: Deferred[Any] = self._connections.client.get(
+            self._url, headers=headers, allow_redirects=False, unbuffered=True
+        )
+        request.addTimeout(ANSWER_TIMEOUT_S, self._reactor)
+        response = await request
+        if response.code == 304:
+            response.deliverBody(DiscardedBody())
+            return False
+        if response.code != 200:
+            response.deliverBody(DiscardedBody())
+            raise ValueError(f"the host list answered with status {response.code}")
+        reading = Deferred.fromCoroutine(read_body(response, MAX_LIST_BYTES))
+        reading.addTimeout(BODY_TIMEOUT_S, self._reactor)
+        content = await reading
+        (version,) = response.headers.getRawHeaders("Host-List-Version") or [""]
+        if version and version == self._version:
+            return False
+        self._apply(msgspec.json.decode(content, type=HostList))
+        self._version = version
+        return True
+
+    def _apply(self, host_list: HostList) -> None:
+        listed = {each.id: each for each in host_list.hosts}
+        for upstream_id in list(self._notices):
+            host = listed.get(upstream_id)
+            dropped = host is None and upstream_id in self._listed
+            if dropped or (host is not None and host.state is UpstreamState.LEAVING):
+                self._settle(upstream_id)
+        gone = {each for each in self._settled if each[0] not in listed}
+        # Late copies about a host that is gone cannot block anything that is listed.
+        for key in gone - {
+            (each, origin) for each, origin in gone if each in self._listed
+        }:
+            del self._settled[key]
+        self._listed = listed
+        self._changed()
+
+    def _changed(self) -> None:
+        merged: dict[ServiceName, dict[UpstreamId, Upstream]] = {}
+        for upstream in self._listed.values():
+            if upstream.id in self._notices:
+                upstream = upstream._replace(state=UpstreamState.LEAVING)
+            merged.setdefault(upstream.service, {})[upstream.id] = upstream
+        self._schedule_expiry()
+        if merged == self._merged:
+            return
+        self._merged = merged
+        for handler in self._handlers:
+            handler()
+
+    def _schedule_expiry(self) -> None:
+        if self._expiry is not None and self._expiry.active():
+            self._expiry.cancel()
+        self._expiry = None
+        if self._notices:
+            first = min(each.expires for each in self._notices.values())
+            delay = max(0.0, first - self._reactor.seconds())
+            self._expiry = self._reactor.callLater(delay, self._expire)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
@@ -0,0 +1,96 @@
+"""HTTP plumbing that the store client and the host list share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+@implementer(IBodyProducer)
+class BytesBody:
+    """Request body that is written in one piece."""
+
+    def __init__(self, content: bytes) -> None:
+        self._content = content
+        self.length = len(content)
+
+    def startProducing(self, consumer: Any) -> Any:  # noqa: N802 - Twisted's name
+        """Write the body."""
+        consumer.write(self._content)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Do nothing; the body is written already."""
+
+    def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Do nothing; the body is written already."""
+
+    def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Do nothing; the body is written already."""
+
+
+class BoundedBody(Protocol):
+    """Collects a response body up to ``limit`` bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._content = bytearray()
+        self.done: Deferred[bytes] = Deferred(self._cancel)
+
+    def _cancel(self, _: Any) -> None:
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Collect a piece."""
+        self._content += data
+        if len(self._content) > self._limit and not self.done.called:
+            self.done.errback(ValueError(f"response exceeds {self._limit} bytes"))
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Report the whole body, or the loss."""
+        if self.done.called:
+            return
+        if reason.check(ResponseDone):
+            self.done.callback(bytes(self._content))
+        else:
+            self.done.errback(reason)
+
+
+class DiscardedBody(Protocol):
+    """Reads a response body that nobody needs, so that its connection is reused."""
+
+
+class HttpConnections:
+    """A treq client with a pool of its own that can be closed."""
+
+    def __init__(self, reactor: Any, agent: Any = None) -> None:
+        self._pool = None
+        if agent is None:
+            self._pool = HTTPConnectionPool(reactor)
+            # A request that is repeated behind the caller's back could write twice.
+            self._pool.retryAutomatically = False
+            agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self.client = HTTPClient(agent)
+
+    def stop(self) -> Any:
+        """Close idle connections; returns a Deferred or None."""
+        return self._pool.closeCachedConnections() if self._pool else None
+
+
+async def read_body(response: Any, limit: int) -> bytes:
+    """Return the body of a response; fails if it exceeds ``limit`` bytes."""
+    body = BoundedBody(limit)
+    response.deliverBody(body)
+    return await body.done
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
@@ -140,6 +140,13 @@
     def on_members_change(self, handler: Callable[[], None]) -> None:
         """Call ``handler`` after each change of the live members."""
 
+    def on_self_removed(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` when the others have removed this daemon.
+
+        All roles must be dropped. The handlers have run before another message is
+        handled or sent.
+        """
+
 
 class UpstreamDirectory(Protocol):
     """The upstreams of each service: the host list with first-hand notices applied."""
@@ -174,3 +181,24 @@
 
     def on_link_change(self, handler: Callable[[MemberId, bool], None]) -> None:
         """Call ``handler(member_id, is_up)`` when a link comes up or goes down."""
+
+
+class ClusterNetwork(PeerNetwork, Protocol):
+    """What the cluster task sets on the links; other tasks use ``PeerNetwork``."""
+
+    @property
+    def identity(self) -> Member:
+        """This daemon as later ``Hello`` messages introduce it."""
+
+    def set_identity(self, identity: Member) -> None:
+        """Set the incarnation that later ``Hello`` messages carry."""
+
+    def set_budget(self, bytes_per_second: int) -> None:
+        """Set the control bytes per second of each link."""
+
+    def update_members(
+        self,
+        live: Mapping[MemberId, Member],
+        removed: Mapping[MemberId, Member],
+    ) -> None:
+        """Set the members to keep links to, and those that were removed."""
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -0,0 +1,278 @@
+"""The one class that talks to the configuration store.
+
+It uses the JSON interface of the etcd v3 protocol. Every call counts against the budget
+of this process; a pending watch counts as one call.
+"""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from logbook import Logger
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
+
+from banyanshelf_core.errors import StoreBudgetError, StoreUnavailableError
+from banyanshelf_core.store_transactions import KeyValue, Transaction, TransactionResult
+from banyanshelf_daemon.background import BackgroundTasks
+from banyanshelf_daemon.http_json import (
+    BytesBody,
+    DiscardedBody,
+    HttpConnections,
+    read_body,
+)
+from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.store_watch import StoreWatch, WatchEvent
+from banyanshelf_daemon.token_bucket import TokenBucket
+
+CALL_TIMEOUT_S = 2.0
+# The largest value is 1 MB, which grows by a third in base64; a prefix holds many.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
+log = Logger("store_client")
+
+
+class RangeResult(NamedTuple):
+    """Records of a prefix at one revision of the store."""
+
+    revision: int
+    records: list[KeyValue]
+
+
+class StoreClient:
+    """Reads, writes, leases and watches below ``settings.store_prefix``.
+
+    Calls fail with :class:`StoreUnavailableError` when the store does not answer in
+    time, in which case a write may or may not have taken effect, and with
+    :class:`StoreBudgetError` when the budget is used up, in which case nothing was
+    sent.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        agent: Any = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.reactor = reactor
+        self.rng = rng or random.Random(settings.seed or None)
+        self.tasks = BackgroundTasks(reactor)
+        self._base_url = settings.store_url.rstrip("/")
+        self._prefix = settings.store_prefix
+        self._connections = HttpConnections(reactor, agent)
+        rate = settings.store_calls_per_second
+        self._budget = TokenBucket(rate, max(rate, 1.0), reactor.seconds())
+        self._counts: Counter[str] = Counter()
+
+    # Records
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return one record, or None if it is absent."""
+        result = await self._call("range", {"key": self._key(key)})
+        records = self._records(result)
+        return records[0] if records else None
+
+    async def get_prefix(self, prefix: str) -> RangeResult:
+        """Return all records whose keys start with ``prefix``."""
+        result = await self._call("range", self.prefix_range(prefix))
+        return RangeResult(revision_of(result), self._records(result))
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a record and return the store's revision."""
+        result = await self._call("put", self._put(key, value, lease))
+        return revision_of(result)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Run a transaction."""
+        body = {
+            "compare": [
+                {
+                    "key": self._key(each.key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(each.mod_revision),
+                }
+                for each in transaction.compares
+            ],
+            "success": [{"request_put": self._put(*each)} for each in transaction.puts],
+            "failure": [
+                {"request_range": {"key": self._key(key)}} for key in transaction.reads
+            ],
+        }
+        result = await self._call("txn", body)
+        if result.get("succeeded"):
+            return TransactionResult(True, revision_of(result))
+        reads = []
+        for response in result.get("responses", []):
+            records = self._records(response.get("response_range", {}))
+            reads.append(records[0] if records else None)
+        return TransactionResult(False, revision_of(result), tuple(reads))
+
+    # Leases
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+        result = await self._call("lease_grant", {"TTL": str(ttl_s)})
+        return _number(result, "ID")
+
+    async def keep_lease(self, lease: int) -> int:
+        """Extend a lease; returns its remaining seconds, 0 if it has lapsed."""
+        result = await self._call("lease_keepalive", {"ID": str(lease)})
+        return _number(result.get("result", {}), "TTL")
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease, which deletes its records."""
+        await self._call("lease_revoke", {"ID": str(lease)})
+
+    # Watches
+
+    def watch(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_event: Callable[[WatchEvent], None],
+        on_reset: Callable[[], None],
+    ) -> StoreWatch:
+        """Report changes below ``prefix`` from ``start_revision`` on, until stopped.
+
+        The watch reconnects with backoff and continues where it was. ``on_reset`` is
+        called when the store no longer has that revision; the caller must read again.
+        """
+        watch = StoreWatch(self, prefix, start_revision, on_event, on_reset)
+        watch.start()
+        return watch
+
+    # Start, stop, status
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the number of calls by kind for the status page."""
+        available = self._budget.available(self.reactor.seconds())
+        return {"calls": dict(self._counts), "budget_left": available}
+
+    def stop(self) -> Any:
+        """End watches and close connections; returns a Deferred or None."""
+        self.tasks.stop()
+        return self._connections.stop()
+
+    # Requests
+
+    def relative_key(self, encoded: str) -> str:
+        """Return the key of a record without the store prefix."""
+        key = base64.b64decode(encoded).decode()
+        return key.removeprefix(self._prefix)
+
+    def prefix_range(self, prefix: str) -> dict[str, Any]:
+        """Return the key range of a prefix in the store's encoding."""
+        start = (self._prefix + prefix).encode()
+        end = start[:-1] + bytes([start[-1] + 1])
+        return {"key": _encoded(start), "range_end": _encoded(end)}
+
+    async def open(self, kind: str, body: dict[str, Any]) -> Any:
+        """Count a call, send it and return the response once its headers are in."""
+        if not self._budget.take(1.0, self.reactor.seconds()):
+            self._counts["refused_by_budget"] += 1
+            raise StoreBudgetError(
+                "this process has used its store calls for now; try again later or "
+                "raise store_calls_per_second",
+            )
+        self._counts[kind] += 1
+        path = f"/v3/{_PATHS[kind]}"
+        request: Deferred[Any] = self._connections.client.post(
+            self._base_url + path,
+            data=BytesBody(msgspec.json.encode(body)),
+            headers={b"Content-Type": [b"application/json"]},
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        request.addTimeout(CALL_TIMEOUT_S, self.reactor)
+        try:
+            response = await request
+        except CancelledError:
+            raise
+        except Exception as error:
+            self._counts["failed"] += 1
+            never_sent = isinstance(error, ConnectError | ConnectTimeoutError)
+            effect = "nothing was sent" if never_sent else "a write may have happened"
+            raise StoreUnavailableError(
+                f"store call {path} failed ({error!r}); {effect}; "
+                "check that the store at store_url is up",
+            ) from error
+        if response.code != 200:
+            self._counts["failed"] += 1
+            response.deliverBody(DiscardedBody())
+            raise StoreUnavailableError(
+                f"store call {path} was answered with status {response.code}; "
+                "check the log of the store",
+            )
+        return response
+
+    async def _call(self, kind: str, body: dict[str, Any]) -> dict[str, Any]:
+        response = await self.open(kind, body)
+        reading = Deferred.fromCoroutine(read_body(response, MAX_RESPONSE_BYTES))
+        reading.addTimeout(CALL_TIMEOUT_S, self.reactor)
+        try:
+            content = await reading
+            result = msgspec.json.decode(content)
+        except CancelledError:
+            raise
+        except Exception as error:
+            self._counts["failed"] += 1
+            raise StoreUnavailableError(
+                f"the answer to store call {kind} was lost ({error!r}); a write may "
+                "have happened; read the record back",
+            ) from error
+        if not isinstance(result, dict):
+            raise StoreUnavailableError(f"store call {kind} got no JSON object")
+        return result
+
+    def _key(self, key: str) -> str:
+        return _encoded((self._prefix + key).encode())
+
+    def _put(self, key: str, value: bytes, lease: int) -> dict[str, Any]:
+        body = {"key": self._key(key), "value": _encoded(value)}
+        if lease:
+            body["lease"] = str(lease)
+        return body
+
+    def _records(self, result: dict[str, Any]) -> list[KeyValue]:
+        return [self.record(each) for each in result.get("kvs", [])]
+
+    def record(self, raw: dict[str, Any]) -> KeyValue:
+        """Return a record from the store's encoding."""
+        return KeyValue(
+            self.relative_key(raw["key"]),
+            base64.b64decode(raw.get("value", "")),
+            _number(raw, "mod_revision"),
+        )
+
+
+_PATHS = {
+    "range": "kv/range",
+    "put": "kv/put",
+    "txn": "kv/txn",
+    "lease_grant": "lease/grant",
+    "lease_keepalive": "lease/keepalive",
+    "lease_revoke": "lease/revoke",
+    "watch": "watch",
+}
+
+
+def _encoded(content: bytes) -> str:
+    return base64.b64encode(content).decode()
+
+
+def _number(raw: dict[str, Any], name: str) -> int:
+    # The interface writes 64-bit numbers as strings and leaves zeros out.
+    return int(raw.get(name, 0))
+
+
+def revision_of(result: dict[str, Any]) -> int:
+    """Return the store's revision from the header of an answer."""
+    return _number(result.get("header", {}), "revision")
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
@@ -0,0 +1,160 @@
+"""A watch on a prefix of the store that survives reconnects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+from logbook import Logger
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from banyanshelf_core.backoff import Backoff
+from banyanshelf_core.errors import StoreError
+from banyanshelf_core.store_transactions import KeyValue
+
+if TYPE_CHECKING:
+    from banyanshelf_daemon.store_client import StoreClient
+
+BACKOFF_LIMIT_S = 10.0
+# A connection that was cut without a packet is replaced after this long without news.
+IDLE_LIMIT_S = 600.0
+MAX_LINE_BYTES = 4 * 1024 * 1024
+
+log = Logger("store_watch")
+
+
+class WatchEvent(NamedTuple):
+    """A write or a deletion of a record; a deletion has an empty value."""
+
+    record: KeyValue
+    deleted: bool
+
+
+class _Lines(Protocol):
+    """Splits a streamed body into JSON lines."""
+
+    def __init__(self, on_line: Callable[[bytes], None]) -> None:
+        self._on_line = on_line
+        self._buffer = b""
+        self.done: Deferred[None] = Deferred(self._cancel)
+
+    def _cancel(self, _: Any) -> None:
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Handle whole lines."""
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        try:
+            if len(self._buffer) > MAX_LINE_BYTES:
+                raise ValueError(f"line exceeds {MAX_LINE_BYTES} bytes")
+            for line in lines:
+                if line.strip() and not self.done.called:
+                    self._on_line(line)
+        except Exception:
+            if not self.done.called:
+                self.done.errback(Failure())
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Report the end of the stream."""
+        if not self.done.called:
+            self.done.callback(None)
+
+
+class _ResetError(Exception):
+    """The store has dropped the revision at which the watch continues."""
+
+
+class StoreWatch:
+    """One watch; see :meth:`StoreClient.watch`."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        prefix: str,
+        start_revision: int,
+        on_event: Callable[[WatchEvent], None],
+        on_reset: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._next_revision = start_revision
+        self._on_event = on_event
+        self._on_reset = on_reset
+        self._backoff = Backoff(store.rng, limit_s=BACKOFF_LIMIT_S)
+        self._stopped = False
+        self._lines: _Lines | None = None
+        self._idle: Any = None
+
+    def start(self) -> None:
+        """Run until stopped."""
+        self._store.tasks.spawn(self._run(), f"watch on {self._prefix}")
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._stopped = True
+        if self._lines is not None and not self._lines.done.called:
+            self._lines.done.cancel()
+
+    async def _run(self) -> None:
+        while not self._stopped:
+            try:
+                await self._follow()
+            except CancelledError:
+                if self._stopped:
+                    return
+                raise
+            except _ResetError:
+                self._stopped = True
+                self._on_reset()
+                return
+            except (StoreError, ValueError, KeyError, msgspec.DecodeError) as error:
+                log.info("watch on {} interrupted: {}", self._prefix, error)
+            if not self._stopped:
+                await self._store.tasks.sleep(self._backoff.next_delay())
+
+    async def _follow(self) -> None:
+        request = self._store.prefix_range(self._prefix)
+        request["start_revision"] = str(self._next_revision)
+        response = await self._store.open("watch", {"create_request": request})
+        lines = self._lines = _Lines(self._on_line)
+        self._idle = self._store.reactor.callLater(IDLE_LIMIT_S, self._too_idle)
+        opened_at = self._store.reactor.seconds()
+        response.deliverBody(lines)
+        try:
+            await lines.done
+        finally:
+            # A store that cuts each new watch at once must not be asked faster.
+            if self._store.reactor.seconds() - opened_at >= BACKOFF_LIMIT_S:
+                self._backoff.reset()
+            self._lines = None
+            if self._idle.active():
+                self._idle.cancel()
+
+    def _too_idle(self) -> None:
+        lines = self._lines
+        if lines is not None and not lines.done.called:
+            lines.done.callback(None)
+            if lines.transport is not None:
+                lines.transport.abortConnection()
+
+    def _on_line(self, line: bytes) -> None:
+        answer = msgspec.json.decode(line)
+        if "error" in answer:
+            raise ValueError(f"the store ended the watch: {answer['error']}")
+        result = answer.get("result", {})
+        if result.get("canceled"):
+            raise _ResetError
+        self._idle.reset(IDLE_LIMIT_S)
+        for event in result.get("events", []):
+            record = self._store.record(event["kv"])
+            if record.mod_revision >= self._next_revision:
+                self._on_event(WatchEvent(record, event.get("type") == "DELETE"))
+        revision = int(result.get("header", {}).get("revision", 0))
+        if result.get("events"):
+            self._next_revision = max(self._next_revision, revision + 1)
