--- a/packages/banyanshelf-core/src/banyanshelf_core/membership.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/membership.py
@@ -133,7 +133,7 @@
         """
         effects = self._resume(now)
         for member in members:
-            self._merge(MemberUpdate(*member, MemberStatus.ALIVE.value), now, effects)
+            self._observe(member, now, effects, spread=False)
         return self._finish(effects)
 
     def on_hello(self, member: Member, now: float) -> list[MembershipEffect]:
@@ -141,7 +141,9 @@
 
         A member that was removed in this incarnation is told so at once.
         """
-        effects = self.observe([member], now)
+        effects = self._resume(now)
+        self._observe(member, now, effects, spread=True)
+        effects = self._finish(effects)
         if self._view.has_status(member.id, MemberStatus.REMOVED):
             effects.append(self._ping(member.id, self._next_sequence()))
         return effects
@@ -208,6 +210,20 @@
         member = Member(update.id, update.address, update.zone, update.incarnation)
         self._view.merge(member, status, now)
 
+    def _observe(
+        self,
+        member: Member,
+        now: float,
+        effects: list[MembershipEffect],
+        *,
+        spread: bool,
+    ) -> None:
+        if member.id == self.identity.id:
+            update = MemberUpdate(*member, MemberStatus.ALIVE.value)
+            self._merge_self(update, MemberStatus.ALIVE, effects)
+        else:
+            self._view.merge(member, MemberStatus.ALIVE, now, spread=spread)
+
     def _merge_self(
         self,
         update: MemberUpdate,
--- a/packages/banyanshelf-core/src/banyanshelf_core/membership_view.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/membership_view.py
@@ -54,6 +54,8 @@
         self.live: dict[MemberId, Member] = {identity.id: identity}
         self._rng = rng
         self._known: dict[MemberId, KnownMember] = {}
+        # The few that are not alive, so that a tick does not visit every member.
+        self._not_alive: dict[MemberId, KnownMember] = {}
         self._digest_bits = _digest_bits(identity)
         self._transmissions: dict[MemberId, int] = {identity.id: 0}
         self._joined: set[MemberId] = set()
@@ -65,10 +67,10 @@
         return (self._digest_bits >> 1) or 1
 
     def with_status(self, status: MemberStatus) -> dict[MemberId, Member]:
-        """Return the other members that have a status."""
+        """Return the other members that have a status other than alive."""
         return {
             each.member.id: each.member
-            for each in self._known.values()
+            for each in self._not_alive.values()
             if each.status is status
         }
 
@@ -87,8 +89,13 @@
         self._set_live(identity.id, identity)
         self.spread(identity.id)
 
-    def merge(self, member: Member, status: MemberStatus, now: float) -> None:
-        """Take over another member's state if it is higher than the known one."""
+    def merge(
+        self, member: Member, status: MemberStatus, now: float, *, spread: bool = True
+    ) -> None:
+        """Take over another member's state if it is higher than the known one.
+
+        News that every member reads from the store need not be spread.
+        """
         known = self._known.get(member.id)
         if known is not None and (member.incarnation, _RANKS[status]) <= (
             known.member.incarnation,
@@ -97,9 +104,15 @@
             return
         was_live = member.id in self.live
         is_live = status not in GONE
-        self._known[member.id] = KnownMember(member, status, now)
+        state = KnownMember(member, status, now)
+        self._known[member.id] = state
+        if status is MemberStatus.ALIVE:
+            self._not_alive.pop(member.id, None)
+        else:
+            self._not_alive[member.id] = state
         self._set_live(member.id, member if is_live else None)
-        self.spread(member.id)
+        if spread:
+            self.spread(member.id)
         if is_live and not was_live:
             self._removed.discard(member.id)
             self._joined.add(member.id)
@@ -116,18 +129,17 @@
 
     def expire(self, now: float, suspicion_s: float) -> None:
         """Remove suspects whose time is over and forget members long gone."""
-        for known in list(self._known.values()):
-            if known.status is MemberStatus.ALIVE:
-                continue
+        for known in list(self._not_alive.values()):
             if known.status is MemberStatus.SUSPECT:
                 if now >= known.since + suspicion_s:
                     self.merge(known.member, MemberStatus.REMOVED, now)
             elif now >= known.since + REMOVED_KEPT_S:
                 del self._known[known.member.id]
+                del self._not_alive[known.member.id]
 
     def extend_suspicions(self, seconds: float) -> None:
         """Give suspects more time, since nothing could be received for a while."""
-        for known in self._known.values():
+        for known in self._not_alive.values():
             if known.status is MemberStatus.SUSPECT:
                 known.since += seconds
 
