Grant slots through one coordinator per service

Cause: calls need a permit before they go to an upstream, and no gateway alone sees enough traffic to judge the load of an upstream with two or three slots.

Acquire, Release and Holdings carry permits_received, by which the coordinator tells grants on their way from unmet demand; Acquire and Release carry the spare permits asked for and the upstreams that no waiting call can use; Grant carries its terms, Recall an upstream. Permit has a number, unique at the gateway.

Measured: before, no admission existed.

--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -24,6 +24,9 @@
         waiting=1,
         oldest_wait_us=900,
         samples=[messages.AnswerSample("desk-1", 20_000, "answered")],
+        permits_received=5,
+        spare=1,
+        excluded=["desk-3"],
     ),
     "ClaimReply": messages.ClaimReply(
         attempt_id="a1",
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/admission.py
@@ -0,0 +1,154 @@
+"""The queue of calls that wait for a permit of one service at one gateway."""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from banyanshelf_core.model import CallId, UpstreamId
+
+
+class WaitingCall(NamedTuple):
+    """A call that needs a permit; ``arrived`` and ``deadline`` are in seconds."""
+
+    call_id: CallId
+    caller_service: str
+    depth: int
+    arrived: float
+    deadline: float
+    idempotent: bool = True
+    excluded: frozenset[UpstreamId] = frozenset()
+
+    def order(self) -> tuple[int, float, CallId]:
+        """Deeper calls first, so that calls in progress finish; then older ones."""
+        return (-self.depth, self.arrived, self.call_id)
+
+
+class AdmissionQueue:
+    """Waiting calls by caller service, with weighted shares of the concurrency.
+
+    A caller service below its share goes before one that borrows. Without waiting calls
+    of others, a caller service may borrow everything.
+    """
+
+    def __init__(self, limit: int, weights_by_caller: Mapping[str, int]) -> None:
+        self.limit = limit
+        self.weights_by_caller = weights_by_caller
+        self._calls_by_caller: dict[str, list[WaitingCall]] = {}
+        self._callers_by_id: dict[CallId, WaitingCall] = {}
+        self.in_use_by_caller: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._callers_by_id)
+
+    def __iter__(self) -> Iterator[WaitingCall]:
+        return iter(list(self._callers_by_id.values()))
+
+    def weight(self, caller_service: str) -> int:
+        """Return the weight of a caller service; 1 unless configured."""
+        return max(1, self.weights_by_caller.get(caller_service, 1))
+
+    def add(self, call: WaitingCall) -> WaitingCall | None:
+        """Queue a call; returns the call that a full queue sheds for it, if any.
+
+        The shed call may be the new one.
+        """
+        shed = self._make_room(call) if len(self) >= self.limit else None
+        if shed is call:
+            return call
+        if shed is not None:
+            self.remove(shed.call_id)
+        calls = self._calls_by_caller.setdefault(call.caller_service, [])
+        insort(calls, call, key=WaitingCall.order)
+        self._callers_by_id[call.call_id] = call
+        return shed
+
+    def remove(self, call_id: CallId) -> WaitingCall | None:
+        """Take a call out of the queue, or return None if it is not there."""
+        call = self._callers_by_id.pop(call_id, None)
+        if call is None:
+            return None
+        calls = self._calls_by_caller[call.caller_service]
+        calls.remove(call)
+        if not calls:
+            del self._calls_by_caller[call.caller_service]
+        return call
+
+    def take(
+        self, upstream_id: UpstreamId, *, only_idempotent: bool = False
+    ) -> WaitingCall | None:
+        """Remove and return the call that a permit of an upstream is for."""
+        candidates = []
+        for caller, calls in self._calls_by_caller.items():
+            for call in calls:
+                if upstream_id not in call.excluded and (
+                    call.idempotent or not only_idempotent
+                ):
+                    candidates.append((caller, call))
+                    break
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return self.remove(candidates[0][1].call_id)
+        shares = self._shares()
+        within = [
+            call
+            for caller, call in candidates
+            if self.in_use_by_caller[caller] < shares[caller]
+        ]
+        if within:
+            return self.remove(min(within, key=WaitingCall.order).call_id)
+        _, call = min(
+            candidates,
+            key=lambda each: (
+                self.in_use_by_caller[each[0]] / self.weight(each[0]),
+                each[1].order(),
+            ),
+        )
+        return self.remove(call.call_id)
+
+    def oldest_arrival(self) -> float | None:
+        """Return when the longest waiting call arrived."""
+        if not self._callers_by_id:
+            return None
+        # Calls are added in the order of their arrival.
+        return next(iter(self._callers_by_id.values())).arrived
+
+    def ahead_of(self, depth: int) -> int:
+        """Return how many waiting calls go before a new one of the given depth."""
+        return sum(1 for each in self._callers_by_id.values() if each.depth >= depth)
+
+    def excluded_by_all(self) -> frozenset[UpstreamId]:
+        """Return the upstreams that no waiting call can use."""
+        result: frozenset[UpstreamId] | None = None
+        for call in self._callers_by_id.values():
+            if not call.excluded:
+                return frozenset()
+            result = call.excluded if result is None else result & call.excluded
+        return result or frozenset()
+
+    def _shares(self) -> dict[str, float]:
+        """Return each active caller service's share of the concurrency."""
+        callers = set(self._calls_by_caller) | {
+            caller for caller, count in self.in_use_by_caller.items() if count
+        }
+        total_weight = sum(self.weight(each) for each in callers)
+        concurrency = sum(self.in_use_by_caller.values()) + 1
+        return {
+            each: self.weight(each) * concurrency / total_weight for each in callers
+        }
+
+    def _make_room(self, call: WaitingCall) -> WaitingCall:
+        """Return the call to shed: the last one of the longest weighted queue."""
+        lengths = {
+            caller: (len(calls) + (caller == call.caller_service)) / self.weight(caller)
+            for caller, calls in self._calls_by_caller.items()
+        }
+        lengths.setdefault(call.caller_service, 1 / self.weight(call.caller_service))
+        longest = max(lengths, key=lambda each: (lengths[each], each))
+        calls = list(self._calls_by_caller.get(longest, []))
+        if longest == call.caller_service:
+            calls.append(call)
+        return max(calls, key=WaitingCall.order)
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -120,9 +120,25 @@
     epoch_member: str
 
 
+class GrantTerms(StrEnum):
+    """What a gateway may do with granted permits.
+
+    A permit for single use goes back when its call ends. A trial is for single use by
+    an idempotent call.
+    """
+
+    REUSABLE = "reusable"
+    SINGLE_USE = "single_use"
+    TRIAL = "trial"
+
+
 @dataclass(frozen=True, slots=True)
 class Holdings:
-    """The permits that a gateway holds for a service."""
+    """The permits that a gateway holds for a service.
+
+    ``permits_received`` counts the permits granted to the sender in this epoch; the
+    coordinator tells by it which of its grants are still on their way.
+    """
 
     service_name: str
     epoch_number: int
@@ -130,22 +146,33 @@
     in_use: list[SlotCount]
     idle: list[SlotCount]
     waiting: int
+    permits_received: int
 
 
 @dataclass(frozen=True, slots=True)
 class Acquire:
-    """Calls that wait for a permit; replaces the sender's previous count."""
+    """Calls that wait for a permit; replaces the sender's previous count.
+
+    ``spare`` asks for idle permits ahead of demand. ``excluded`` holds upstreams that
+    no waiting call can use.
+    """
 
     service_name: str
     epoch_number: int
     epoch_member: str
     waiting: int
     oldest_wait_us: int
+    permits_received: int
+    spare: int
+    excluded: list[str]
 
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Permits handed to a gateway, with the age of the coordinator's oldest waiter."""
+    """Permits handed to a gateway, with the age of the coordinator's oldest waiter.
+
+    ``terms`` is a ``GrantTerms`` value. A grant without permits only refreshes the age.
+    """
 
     service_name: str
     epoch_number: int
@@ -153,6 +180,7 @@
     permits: list[SlotCount]
     reuse_after_us: int
     contended: bool
+    terms: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,16 +194,24 @@
     waiting: int
     oldest_wait_us: int
     samples: list[AnswerSample]
+    permits_received: int
+    spare: int
+    excluded: list[str]
 
 
 @dataclass(frozen=True, slots=True)
 class Recall:
-    """Asks a gateway to hand back up to ``count`` idle permits."""
+    """Asks a gateway to hand back up to ``count`` permits.
+
+    With an empty ``upstream``, only idle ones. With an upstream, permits in use are
+    handed back as well, when their calls end.
+    """
 
     service_name: str
     epoch_number: int
     epoch_member: str
     count: int
+    upstream: str
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Slot permits: the coordinator of a service and its holders."""
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
@@ -0,0 +1,416 @@
+"""Grants the slots of one service to the gateways."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from banyanshelf_core.messages import (
+    Acquire,
+    CoordinatorAnnounce,
+    Grant,
+    Holdings,
+    Release,
+)
+from banyanshelf_core.model import (
+    Broadcast,
+    Epoch,
+    MemberId,
+    Send,
+    ServiceName,
+    Upstream,
+    UpstreamId,
+)
+from banyanshelf_core.permits.effects import CoordinatorEffect, Probe
+from banyanshelf_core.permits.ledger import (
+    Account,
+    Ledger,
+    counts_of,
+    slot_counts_of,
+)
+from banyanshelf_core.permits.local_share import local_share
+from banyanshelf_core.permits.recalls import Recalls
+from banyanshelf_core.permits.slot_choice import REUSABLE, SlotChoice
+from banyanshelf_core.probe_budget import ProbeBudget
+from banyanshelf_core.upstream_health import UpstreamHealth
+
+COLLECT_S = 0.3
+# Contention that comes and goes within this time would make gateways hand back and
+# fetch idle permits in turn.
+CONTENTION_HOLD_S = 0.1
+# Gateways with waiting calls take a longer silence for an unreachable coordinator.
+KEEPALIVE_S = 0.1
+# Part of the usable slots that is not handed out as spare permits.
+SPARE_RESERVE = 0.1
+
+
+class CoordinatorSettings(NamedTuple):
+    """Settings of one service's coordinator, in seconds."""
+
+    time_limit_s: float = 2.0
+    ramp_s: float = 5.0
+    eject_after_failures: int = 3
+    probe_share: float = 0.005
+    probe_cost_s: float = 0.006
+
+
+class SlotCoordinator:
+    """Exact slot ledger and grants of one service.
+
+    Each method returns effects. A message of another epoch has none.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        rng: random.Random,
+        service_name: ServiceName,
+        epoch: Epoch,
+        zones_by_member: Mapping[MemberId, str],
+        upstreams_by_id: Mapping[UpstreamId, Upstream],
+        settings: CoordinatorSettings,
+        recently_removed: Mapping[MemberId, float] | None = None,
+    ) -> None:
+        self.service_name = service_name
+        self.epoch = epoch
+        self.settings = settings
+        self.health = UpstreamHealth(
+            settings.time_limit_s, settings.ramp_s, settings.eject_after_failures
+        )
+        self.budget = ProbeBudget(now, settings.probe_share)
+        self.ledger = Ledger()
+        self._zones_by_member = dict(zones_by_member)
+        self._choice = SlotChoice(rng, self.health, self.ledger.outstanding)
+        self._recalls = Recalls(service_name, epoch, self.ledger)
+        self._probes_by_id: dict[UpstreamId, float] = {}
+        self._collecting_until: float | None = now + COLLECT_S
+        self._contended_until = 0.0
+        for member_id in zones_by_member:
+            self.ledger.accounts_by_member[member_id] = Account()
+        self.health.set_upstreams(now, upstreams_by_id)
+        self._choice.rebuild(now)
+        for member_id, removed_at in (recently_removed or {}).items():
+            self.ledger.reserve(
+                self._local_share_of(member_id), removed_at + settings.time_limit_s
+            )
+
+    def start(self) -> list[CoordinatorEffect]:
+        """Announce the epoch to all members, this one included."""
+        announce = self._announce()
+        return [Broadcast(announce), Send(self.epoch.member_id, announce)]
+
+    @property
+    def is_collecting(self) -> bool:
+        """Whether grants wait for the holdings of the members."""
+        return self._collecting_until is not None
+
+    def on_message(
+        self, now: float, sender: MemberId, message: Holdings | Acquire | Release
+    ) -> list[CoordinatorEffect]:
+        """Take in a gateway's message."""
+        account = self.ledger.accounts_by_member.get(sender)
+        is_current = (message.epoch_number, message.epoch_member) == self.epoch
+        if account is None or not is_current:
+            return []
+        match message:
+            case Acquire():
+                self._take_demand(now, account, message)
+            case Release():
+                for each in message.permits:
+                    if self.ledger.give_back(sender, each.upstream, each.count):
+                        self._choice.update(now, each.upstream)
+                recalls = self._take_samples(now, message)
+                self._take_demand(now, account, message)
+                return recalls + self._serve(now)
+            case Holdings():
+                held = counts_of([*message.in_use, *message.idle])
+                changed = self.ledger.replace(sender, held, message.permits_received)
+                account.set_waiting(now, message.waiting, 0)
+                for upstream_id in changed:
+                    self._choice.update(now, upstream_id)
+                self._end_collecting_if_complete(now)
+                effects = self._recall_excess(now, changed) + self._serve(now)
+                if account.last_sent < now:
+                    # A gateway that took this coordinator for silent needs an answer.
+                    effects.append(
+                        self._grant_message(now, sender, account, Counter(), REUSABLE)
+                    )
+                return effects
+        return self._serve(now)
+
+    def on_link(
+        self, now: float, member_id: MemberId, *, is_up: bool
+    ) -> list[CoordinatorEffect]:
+        """Start a new session with a gateway, or end one.
+
+        Without a link the gateway's permits stay counted; after a new link nothing is
+        granted until its holdings have arrived.
+        """
+        account = self.ledger.accounts_by_member.get(member_id)
+        if account is None:
+            return []
+        account.linked = is_up
+        account.reported = False
+        account.arrivals.clear()
+        account.told_contended = False
+        return [Send(member_id, self._announce())] if is_up else []
+
+    def on_unsent(
+        self, now: float, member_id: MemberId, grant: Grant
+    ) -> list[CoordinatorEffect]:
+        """Take back a grant that found no link."""
+        account = self.ledger.accounts_by_member.get(member_id)
+        if account is None:
+            return []
+        account.linked = False
+        account.reported = False
+        account.arrivals.clear()
+        counts = counts_of(grant.permits)
+        self.ledger.revoke_grants(member_id, list(counts.elements()))
+        for upstream_id in counts:
+            self._choice.update(now, upstream_id)
+        return []
+
+    def set_members(
+        self, now: float, zones_by_member: Mapping[MemberId, str]
+    ) -> list[CoordinatorEffect]:
+        """Take over the live members; removed ones are reclaimed after a time limit."""
+        effects: list[CoordinatorEffect] = []
+        accounts = self.ledger.accounts_by_member
+        for member_id in [each for each in accounts if each not in zones_by_member]:
+            self.ledger.remove(member_id, now + self.settings.time_limit_s)
+        for member_id in zones_by_member:
+            if member_id not in accounts:
+                accounts[member_id] = Account()
+                effects.append(Send(member_id, self._announce()))
+        self._zones_by_member = dict(zones_by_member)
+        self._end_collecting_if_complete(now)
+        return effects + self._serve(now)
+
+    def set_upstreams(
+        self, now: float, upstreams_by_id: Mapping[UpstreamId, Upstream]
+    ) -> list[CoordinatorEffect]:
+        """Take over the upstreams; excess permits are recalled."""
+        self.health.set_upstreams(now, upstreams_by_id)
+        self.health.refresh(now)
+        self._choice.rebuild(now)
+        upstream_ids = set(self.ledger.outstanding) | set(upstreams_by_id)
+        return self._recall_excess(now, upstream_ids) + self._serve(now)
+
+    def on_probe_result(
+        self, now: float, upstream_id: UpstreamId, *, succeeded: bool
+    ) -> list[CoordinatorEffect]:
+        """Readmit a probed upstream, or eject it for longer."""
+        started = self._probes_by_id.pop(upstream_id, None)
+        if started is None:
+            return []
+        self.ledger.outstanding[upstream_id] -= 1
+        excess_s = now - started - self.settings.probe_cost_s
+        if excess_s > 0:
+            self.budget.spend(now, upstream_id, excess_s)
+        if upstream_id in self.health.records_by_id:
+            if succeeded:
+                self.health.readmit(now, upstream_id, probed=True)
+            else:
+                self.health.eject(now, upstream_id)
+        self._choice.update(now, upstream_id)
+        return self._serve(now)
+
+    def tick(self, now: float) -> list[CoordinatorEffect]:
+        """Act on what time brings; to be called every 25 ms or so."""
+        effects: list[CoordinatorEffect] = []
+        if self._collecting_until is not None and now >= self._collecting_until:
+            self._assume_missing()
+            self._collecting_until = None
+        self.ledger.reclaim(now)
+        self.health.refresh(now)
+        effects += self._readmit(now)
+        self._choice.rebuild(now)
+        effects += self._serve(now)
+        for member_id, account in self.ledger.accounts_by_member.items():
+            is_due = account.arrivals and now - account.last_sent >= KEEPALIVE_S
+            if is_due and account.linked:
+                effects.append(
+                    self._grant_message(now, member_id, account, Counter(), REUSABLE)
+                )
+        return effects
+
+    def waiting_count(self) -> int:
+        """Return how many calls wait at all gateways."""
+        return sum(
+            len(each.arrivals) for each in self.ledger.accounts_by_member.values()
+        )
+
+    def _recall_excess(
+        self, now: float, upstream_ids: Iterable[UpstreamId]
+    ) -> list[CoordinatorEffect]:
+        effects: list[CoordinatorEffect] = []
+        for upstream_id in upstream_ids:
+            limit = self.health.limit(now, upstream_id)
+            effects += self._recalls.above(upstream_id, limit)
+        return effects
+
+    def _announce(self) -> CoordinatorAnnounce:
+        return CoordinatorAnnounce(self.service_name, *self.epoch)
+
+    def _take_demand(
+        self, now: float, account: Account, message: Acquire | Release
+    ) -> None:
+        account.confirm(message.permits_received)
+        account.set_waiting(now, message.waiting, message.oldest_wait_us)
+        account.spare = message.spare
+        account.excluded = frozenset(message.excluded)
+
+    def _take_samples(self, now: float, message: Release) -> list[CoordinatorEffect]:
+        effects: list[CoordinatorEffect] = []
+        for sample in message.samples:
+            is_worse = self.health.record(
+                now, sample.upstream, sample.service_time_us, sample.kind
+            )
+            if is_worse:
+                effects += self._recalls.above(sample.upstream, 0)
+            self._choice.update(now, sample.upstream)
+        return effects
+
+    def _end_collecting_if_complete(self, now: float) -> None:
+        if self._collecting_until is not None and all(
+            each.reported for each in self.ledger.accounts_by_member.values()
+        ):
+            self._collecting_until = None
+
+    def _assume_missing(self) -> None:
+        for member_id, account in self.ledger.accounts_by_member.items():
+            if not account.reported and not account.held:
+                self.ledger.assume(member_id, self._local_share_of(member_id))
+
+    def _local_share_of(self, member_id: MemberId) -> Counter[UpstreamId]:
+        members = {*self._zones_by_member, member_id}
+        return Counter(
+            {
+                upstream_id: 1
+                for upstream_id, record in self.health.records_by_id.items()
+                if local_share(member_id, members, upstream_id, record.upstream.slots)
+            }
+        )
+
+    def _readmit(self, now: float) -> list[CoordinatorEffect]:
+        effects: list[CoordinatorEffect] = []
+        cost_s = self.settings.probe_cost_s
+        for upstream_id, record in self.health.records_by_id.items():
+            until = record.ejected_until
+            if until is None or now < until or upstream_id in self._probes_by_id:
+                continue
+            slots = record.upstream.slots
+            if not self.budget.covers(now, upstream_id, slots, cost_s):
+                self.health.readmit(now, upstream_id, probed=False)
+            elif self.ledger.outstanding[upstream_id] < slots:
+                self.budget.spend(now, upstream_id, cost_s)
+                self._probes_by_id[upstream_id] = now
+                self.ledger.outstanding[upstream_id] += 1
+                effects.append(Probe(upstream_id))
+        return effects
+
+    def _serve(self, now: float) -> list[CoordinatorEffect]:
+        if self._collecting_until is not None:
+            return []
+        open_accounts = {
+            member_id: account
+            for member_id, account in self.ledger.accounts_by_member.items()
+            if account.reported and account.linked
+        }
+        waiting = {
+            member_id: account
+            for member_id, account in open_accounts.items()
+            if account.arrivals
+        }
+        queue_length = sum(len(each.arrivals) for each in waiting.values())
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]] = {}
+        while waiting:
+            member_id = min(waiting, key=lambda each: waiting[each].arrivals[0])
+            account = waiting[member_id]
+            picked = self._choice.pick(
+                now,
+                self._zones_by_member[member_id],
+                account.excluded,
+                queue_length,
+            )
+            if picked is None:
+                del waiting[member_id]
+                continue
+            upstream_id, terms = picked
+            account.arrivals.popleft()
+            queue_length -= 1
+            if not account.arrivals:
+                del waiting[member_id]
+            self._record(now, grants, member_id, upstream_id, terms)
+        effects: list[CoordinatorEffect] = []
+        if queue_length:
+            self._contended_until = now + CONTENTION_HOLD_S
+            effects += self._recalls.idle(open_accounts)
+        elif now >= self._contended_until:
+            self._serve_spare(now, open_accounts, grants)
+        for (member_id, terms), counts in grants.items():
+            account = open_accounts[member_id]
+            effects.append(self._grant_message(now, member_id, account, counts, terms))
+        return effects
+
+    def _serve_spare(
+        self,
+        now: float,
+        accounts: Mapping[MemberId, Account],
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
+    ) -> None:
+        for member_id, account in accounts.items():
+            while account.spare > 0 and self._choice.has_reserve(SPARE_RESERVE):
+                zone = self._zones_by_member[member_id]
+                upstream_id = self._choice.pick_fast(zone, account.excluded)
+                if upstream_id is None:
+                    break
+                account.spare -= 1
+                self._record(now, grants, member_id, upstream_id, REUSABLE)
+            account.spare = 0
+
+    def _record(
+        self,
+        now: float,
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
+        member_id: MemberId,
+        upstream_id: UpstreamId,
+        terms: str,
+    ) -> None:
+        self.ledger.grant(member_id, upstream_id)
+        self._choice.update(now, upstream_id)
+        grants.setdefault((member_id, terms), Counter())[upstream_id] += 1
+
+    def _grant_message(
+        self,
+        now: float,
+        member_id: MemberId,
+        account: Account,
+        counts: Counter[UpstreamId],
+        terms: str,
+    ) -> Send:
+        account.last_sent = now
+        oldest = min(
+            (
+                each.arrivals[0]
+                for each in self.ledger.accounts_by_member.values()
+                if each.arrivals
+            ),
+            default=now,
+        )
+        is_contended = now < self._contended_until
+        account.told_contended = is_contended
+        return Send(
+            member_id,
+            Grant(
+                self.service_name,
+                *self.epoch,
+                slot_counts_of(counts),
+                int((now - oldest) * 1e6),
+                is_contended,
+                terms,
+            ),
+        )
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/ledger.py
@@ -0,0 +1,166 @@
+"""Exact counts of the permits of one service, kept by its coordinator."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from banyanshelf_core.messages import SlotCount
+from banyanshelf_core.model import MemberId, UpstreamId
+
+
+def counts_of(slot_counts: Iterable[SlotCount]) -> Counter[UpstreamId]:
+    """Sum slot counts by upstream; ignores counts below one."""
+    counts: Counter[UpstreamId] = Counter()
+    for each in slot_counts:
+        if each.count > 0:
+            counts[each.upstream] += each.count
+    return counts
+
+
+def slot_counts_of(counts: Counter[UpstreamId]) -> list[SlotCount]:
+    """Return the positive counts as message content."""
+    return [SlotCount(upstream, count) for upstream, count in counts.items() if count]
+
+
+@dataclass(slots=True)
+class Account:
+    """One gateway's permits and waiting calls.
+
+    ``on_their_way`` lists granted permits that the gateway has not confirmed, oldest
+    first. ``arrivals`` holds one time per waiting call, oldest first. Nothing is
+    granted while ``reported`` or ``linked`` is false.
+    """
+
+    held: Counter[UpstreamId] = field(default_factory=Counter)
+    on_their_way: deque[UpstreamId] = field(default_factory=deque)
+    granted: int = 0
+    recalled: Counter[UpstreamId] = field(default_factory=Counter)
+    arrivals: deque[float] = field(default_factory=deque)
+    spare: int = 0
+    excluded: frozenset[UpstreamId] = frozenset()
+    reported: bool = False
+    linked: bool = True
+    told_contended: bool = False
+    last_sent: float = 0.0
+
+    def confirm(self, permits_received: int) -> None:
+        """Forget the grants that the gateway has confirmed."""
+        pending = self.granted - permits_received
+        while len(self.on_their_way) > max(0, pending):
+            self.on_their_way.popleft()
+
+    def set_waiting(self, now: float, waiting: int, oldest_wait_us: int) -> None:
+        """Take over a gateway's count of waiting calls.
+
+        Grants on their way are for calls that the gateway still counts.
+        """
+        actual = max(0, waiting - len(self.on_their_way))
+        while len(self.arrivals) > actual:
+            self.arrivals.pop()
+        while len(self.arrivals) < actual:
+            self.arrivals.append(now)
+        if self.arrivals and not self.on_their_way:
+            self.arrivals[0] = now - oldest_wait_us / 1e6
+
+
+class Ledger:
+    """Permits per (gateway, upstream), and the permits of members that were removed."""
+
+    def __init__(self) -> None:
+        self.accounts_by_member: dict[MemberId, Account] = {}
+        self.outstanding: Counter[UpstreamId] = Counter()
+        self._reclaims: list[tuple[float, Counter[UpstreamId]]] = []
+
+    def grant(self, member_id: MemberId, upstream_id: UpstreamId) -> None:
+        """Record one granted permit."""
+        account = self.accounts_by_member[member_id]
+        account.held[upstream_id] += 1
+        account.on_their_way.append(upstream_id)
+        account.granted += 1
+        self.outstanding[upstream_id] += 1
+
+    def give_back(
+        self, member_id: MemberId, upstream_id: UpstreamId, count: int
+    ) -> int:
+        """Record returned permits; returns how many of them were on record."""
+        account = self.accounts_by_member[member_id]
+        count = min(count, account.held[upstream_id])
+        if count <= 0:
+            return 0
+        account.held[upstream_id] -= count
+        if not account.held[upstream_id]:
+            del account.held[upstream_id]
+        if upstream_id in account.recalled:
+            account.recalled[upstream_id] -= count
+            if account.recalled[upstream_id] <= 0:
+                del account.recalled[upstream_id]
+        self.outstanding[upstream_id] -= count
+        return count
+
+    def revoke_grants(self, member_id: MemberId, upstreams: list[UpstreamId]) -> None:
+        """Undo grants whose message could not be sent."""
+        account = self.accounts_by_member[member_id]
+        for upstream_id in upstreams:
+            if account.on_their_way:
+                account.on_their_way.pop()
+                account.granted -= 1
+                self.give_back(member_id, upstream_id, 1)
+
+    def replace(
+        self, member_id: MemberId, held: Counter[UpstreamId], permits_received: int
+    ) -> set[UpstreamId]:
+        """Replace a gateway's count by its own report.
+
+        Grants that are still on their way are added. Returns the upstreams whose count
+        changed.
+        """
+        account = self.accounts_by_member[member_id]
+        if account.reported:
+            account.confirm(permits_received)
+        else:
+            account.on_their_way.clear()
+            account.granted = permits_received
+        held = held + Counter(account.on_their_way)
+        changed = set(account.held) | set(held)
+        self.outstanding.subtract(account.held)
+        self.outstanding.update(held)
+        account.held = held
+        account.recalled.clear()
+        account.reported = True
+        return changed
+
+    def assume(self, member_id: MemberId, held: Counter[UpstreamId]) -> None:
+        """Count permits of a gateway that has not reported."""
+        account = self.accounts_by_member[member_id]
+        self.outstanding.subtract(account.held)
+        self.outstanding.update(held)
+        account.held = held
+
+    def remove(self, member_id: MemberId, reclaim_at: float) -> None:
+        """Forget a gateway; its permits stay counted until ``reclaim_at``."""
+        account = self.accounts_by_member.pop(member_id)
+        self.reserve(account.held, reclaim_at, is_counted=True)
+
+    def reserve(
+        self, held: Counter[UpstreamId], reclaim_at: float, *, is_counted: bool = False
+    ) -> None:
+        """Count permits of no known gateway until ``reclaim_at``."""
+        if not held:
+            return
+        if not is_counted:
+            self.outstanding.update(held)
+        self._reclaims.append((reclaim_at, held))
+
+    def reclaim(self, now: float) -> set[UpstreamId]:
+        """Free the permits that are due; returns the upstreams concerned."""
+        due = [held for at, held in self._reclaims if at <= now]
+        if not due:
+            return set()
+        self._reclaims = [each for each in self._reclaims if each[0] > now]
+        changed: set[UpstreamId] = set()
+        for held in due:
+            self.outstanding.subtract(held)
+            changed.update(held)
+        return changed
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/local_choice.py
@@ -0,0 +1,149 @@
+"""A gateway's own choice: among its idle permits, and in the local share."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+
+from banyanshelf_core.messages import AnswerSample
+from banyanshelf_core.model import MemberId, Upstream, UpstreamId, UpstreamState
+from banyanshelf_core.permits.local_share import local_share
+from banyanshelf_core.upstream_health import UpstreamHealth
+
+
+class LocalChoice:
+    """What one gateway knows about a service's upstreams by itself."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        member: tuple[MemberId, str],
+        health: UpstreamHealth,
+    ) -> None:
+        self._rng = rng
+        self._member_id, self._zone = member
+        self._health = health
+        self._members: frozenset[MemberId] = frozenset({self._member_id})
+        self._upstreams_by_id: Mapping[UpstreamId, Upstream] = {}
+        self._live: frozenset[UpstreamId] = frozenset()
+        self._shares: list[UpstreamId] | None = None
+        self._load_by_id: dict[UpstreamId, float] = {}
+        self._uncounted: Counter[UpstreamId] = Counter()
+        self._counted: Counter[UpstreamId] = Counter()
+
+    def set_members(self, members: Iterable[MemberId]) -> None:
+        """Take over the live members."""
+        self._members = frozenset(members) | {self._member_id}
+        self._shares = None
+
+    def set_upstreams(
+        self, now: float, upstreams_by_id: Mapping[UpstreamId, Upstream]
+    ) -> None:
+        """Take over the upstreams."""
+        self._upstreams_by_id = dict(upstreams_by_id)
+        self._live = frozenset(
+            upstream_id
+            for upstream_id, upstream in upstreams_by_id.items()
+            if upstream.state == UpstreamState.LIVE
+        )
+        self._shares = None
+        self._health.set_upstreams(now, upstreams_by_id)
+
+    def is_live(self, upstream_id: UpstreamId) -> bool:
+        """Whether an upstream may receive new work."""
+        return upstream_id in self._live
+
+    def has_candidate(self, excluded: Collection[UpstreamId]) -> bool:
+        """Whether any upstream outside ``excluded`` may receive new work."""
+        if not excluded:
+            return bool(self._live)
+        return any(each not in excluded for each in self._live)
+
+    def note_load_report(
+        self, upstream_id: UpstreamId, in_flight: int, slots: int
+    ) -> None:
+        """Take in a load report; it weighs at most one slot."""
+        self._load_by_id[upstream_id] = min(1.0, in_flight / max(1, slots))
+
+    def take_sample(self, now: float, sample: AnswerSample) -> None:
+        """Take in how an attempt ended."""
+        self._health.record(now, sample.upstream, sample.service_time_us, sample.kind)
+
+    def mean_service_s(self) -> float:
+        """Return the mean service time of the upstreams that are not slow."""
+        return self._health.fast_mean_us / 1e6
+
+    def refresh(self, now: float) -> None:
+        """Recompute averages and readmit upstreams whose ejection is over."""
+        for upstream_id, record in self._health.records_by_id.items():
+            if record.ejected_until is not None and now >= record.ejected_until:
+                self._health.readmit(now, upstream_id, probed=False)
+        self._health.refresh(now)
+
+    def pick_idle(
+        self, idle: Counter[UpstreamId], excluded: Collection[UpstreamId]
+    ) -> UpstreamId | None:
+        """Return the upstream of an idle permit, in the own zone if possible."""
+        fallback = None
+        for upstream_id in idle:
+            if upstream_id in excluded:
+                continue
+            if self._upstreams_by_id[upstream_id].zone == self._zone:
+                return upstream_id
+            if fallback is None:
+                fallback = upstream_id
+        return fallback
+
+    def shared_upstreams(self, now: float) -> list[UpstreamId]:
+        """Return the upstreams at which the local share has a free place.
+
+        The preferred one comes first: not slow, low reported load, own zone.
+        """
+        if self._shares is None:
+            self._shares = [
+                upstream_id
+                for upstream_id in sorted(self._live)
+                if local_share(
+                    self._member_id,
+                    self._members,
+                    upstream_id,
+                    self._upstreams_by_id[upstream_id].slots,
+                )
+            ]
+        free = [
+            each
+            for each in self._shares
+            if not self._uncounted[each]
+            and not self._counted[each]
+            and self._health.limit(now, each)
+        ]
+        records = self._health.records_by_id
+        return sorted(
+            free,
+            key=lambda each: (
+                records[each].is_slow,
+                self._load_by_id.get(each, 0.0),
+                self._upstreams_by_id[each].zone != self._zone,
+                self._rng.random(),
+            ),
+        )
+
+    def start_call(self, upstream_id: UpstreamId) -> None:
+        """Record a call in the local share."""
+        self._uncounted[upstream_id] += 1
+
+    def end_call(self, upstream_id: UpstreamId) -> bool:
+        """Record its end; returns whether no coordinator counts it."""
+        if self._uncounted[upstream_id]:
+            self._uncounted[upstream_id] -= 1
+            return True
+        self._counted[upstream_id] -= 1
+        return False
+
+    def count_calls(self) -> Counter[UpstreamId]:
+        """Return the calls that no coordinator has counted yet, and count them."""
+        counted = +self._uncounted
+        self._uncounted.clear()
+        self._counted.update(counted)
+        return counted
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/outbox.py
@@ -0,0 +1,114 @@
+"""Collects what one gateway tells the coordinator of a service."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from banyanshelf_core.admission import AdmissionQueue
+from banyanshelf_core.messages import Acquire, AnswerSample, Release
+from banyanshelf_core.model import Epoch, Send, ServiceName, UpstreamId
+from banyanshelf_core.permits.ledger import slot_counts_of
+from banyanshelf_core.upstream_health import FAILURES
+
+# Samples without a released permit wait for a message to travel with.
+SAMPLE_DELAY_S = 0.05
+SPARE_RETRY_S = 0.1
+MAX_SAMPLES = 256
+
+
+class Outbox:
+    """Released permits, samples and demand since the last message.
+
+    ``wants_flush`` tells whether a message is due in this reactor turn.
+    """
+
+    def __init__(self, service_name: ServiceName) -> None:
+        self.wants_flush = False
+        self.permits_received = 0
+        self._service_name = service_name
+        self._released: Counter[UpstreamId] = Counter()
+        self._samples: list[AnswerSample] = []
+        self._sampled_at: float | None = None
+        self._told_waiting = 0
+        self._spare = 0
+        self._spare_asked_at = float("-inf")
+
+    def give_back(self, upstream_id: UpstreamId) -> None:
+        """Hand back one permit."""
+        self._released[upstream_id] += 1
+        self.wants_flush = True
+
+    def add_sample(self, now: float, sample: AnswerSample) -> None:
+        """Report how an attempt ended; failures at once, others with some delay."""
+        if len(self._samples) < MAX_SAMPLES:
+            self._samples.append(sample)
+        if self._sampled_at is None:
+            self._sampled_at = now
+        if sample.kind in FAILURES:
+            self.wants_flush = True
+
+    def ask_spare(self, now: float) -> None:
+        """Ask for one permit ahead of demand, unless that was asked a moment ago."""
+        if now - self._spare_asked_at >= SPARE_RETRY_S:
+            self._spare_asked_at = now
+            self._spare = 1
+            self.wants_flush = True
+
+    def note_grant(self, count: int) -> None:
+        """Record received permits, each of which the coordinator meant for one call."""
+        self.permits_received += count
+        self._told_waiting = max(0, self._told_waiting - count)
+
+    def note_spare_received(self) -> None:
+        """Allow the next request for a spare permit at once."""
+        self._spare_asked_at = float("-inf")
+
+    def tick(self, now: float) -> None:
+        """Make old samples due."""
+        if self._sampled_at is not None and now - self._sampled_at >= SAMPLE_DELAY_S:
+            self.wants_flush = True
+
+    def restart(self) -> None:
+        """Start a session; the holdings sent with it cover released permits."""
+        self._released.clear()
+        self._told_waiting = 0
+        self.wants_flush = True
+
+    def flush(self, now: float, epoch: Epoch, queue: AdmissionQueue) -> Send | None:
+        """Return the message that collects everything since the last one, if any."""
+        self.wants_flush = False
+        waiting = len(queue)
+        oldest = queue.oldest_arrival()
+        oldest_wait_us = 0 if oldest is None else int((now - oldest) * 1e6)
+        excluded = list(queue.excluded_by_all()) if waiting else []
+        message: Release | Acquire
+        if self._released or self._samples:
+            message = Release(
+                self._service_name,
+                *epoch,
+                slot_counts_of(self._released),
+                waiting,
+                oldest_wait_us,
+                self._samples,
+                self.permits_received,
+                self._spare,
+                excluded,
+            )
+            self._released = Counter()
+            self._samples = []
+            self._sampled_at = None
+        elif waiting or self._spare or self._told_waiting:
+            message = Acquire(
+                self._service_name,
+                *epoch,
+                waiting,
+                oldest_wait_us,
+                self.permits_received,
+                self._spare,
+                excluded,
+            )
+        else:
+            return None
+        self._spare = 0
+        self._told_waiting = waiting
+        return Send(epoch.member_id, message)
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/recalls.py
@@ -0,0 +1,54 @@
+"""Recalls permits from the gateways."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from banyanshelf_core.messages import Recall
+from banyanshelf_core.model import Epoch, MemberId, Send, ServiceName, UpstreamId
+from banyanshelf_core.permits.effects import CoordinatorEffect
+from banyanshelf_core.permits.ledger import Account, Ledger
+
+
+class Recalls:
+    """Recalls of one coordinator; each permit is recalled once per session."""
+
+    def __init__(self, service_name: ServiceName, epoch: Epoch, ledger: Ledger) -> None:
+        self._service_name = service_name
+        self._epoch = epoch
+        self._ledger = ledger
+
+    def idle(self, accounts: Mapping[MemberId, Account]) -> list[CoordinatorEffect]:
+        """Recall the idle permits of gateways that do not know of contention yet."""
+        effects: list[CoordinatorEffect] = []
+        for member_id, account in accounts.items():
+            if account.held and not account.told_contended:
+                account.told_contended = True
+                count = sum(account.held.values())
+                effects.append(self._message(member_id, count, ""))
+        return effects
+
+    def above(self, upstream_id: UpstreamId, limit: int) -> list[CoordinatorEffect]:
+        """Recall the permits of an upstream above a limit, those in use included."""
+        effects: list[CoordinatorEffect] = []
+        excess = self._ledger.outstanding[upstream_id] - limit
+        for member_id, account in self._ledger.accounts_by_member.items():
+            if excess <= 0:
+                break
+            if not account.linked or not account.held[upstream_id]:
+                continue
+            recalled = account.recalled[upstream_id]
+            excess -= recalled
+            count = min(excess, account.held[upstream_id] - recalled)
+            if count > 0:
+                account.recalled[upstream_id] += count
+                excess -= count
+                effects.append(self._message(member_id, count, upstream_id))
+        return effects
+
+    def _message(
+        self, member_id: MemberId, count: int, upstream_id: UpstreamId
+    ) -> Send:
+        return Send(
+            member_id, Recall(self._service_name, *self._epoch, count, upstream_id)
+        )
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/slot_choice.py
@@ -0,0 +1,140 @@
+"""Chooses the upstream of a grant by expected completion time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection
+
+from banyanshelf_core.messages import GrantTerms
+from banyanshelf_core.model import UpstreamId
+from banyanshelf_core.permits.random_set import RandomSet
+from banyanshelf_core.upstream_health import UpstreamHealth
+
+TRIAL_PERIOD_S = 1.0
+REUSABLE = GrantTerms.REUSABLE.value
+SINGLE_USE = GrantTerms.SINGLE_USE.value
+TRIAL = GrantTerms.TRIAL.value
+
+
+class SlotChoice:
+    """The free slots of a service, by class of expected completion time.
+
+    Upstreams up to twice the median service time count as equals, so that noise in the
+    averages does not decide. Slow ones are the last choice.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        health: UpstreamHealth,
+        outstanding: Counter[UpstreamId],
+    ) -> None:
+        self._rng = rng
+        self._health = health
+        self._outstanding = outstanding
+        self._fast = RandomSet()
+        self._fast_by_zone: dict[str, RandomSet] = {}
+        self._slow: set[UpstreamId] = set()
+        self._last_trial_by_id: dict[UpstreamId, float] = {}
+        self._usable_slots = 0
+
+    def rebuild(self, now: float) -> None:
+        """Classify all upstreams anew."""
+        self._fast = RandomSet()
+        self._fast_by_zone = {}
+        self._slow = set()
+        self._usable_slots = 0
+        for upstream_id, record in self._health.records_by_id.items():
+            self.update(now, upstream_id)
+            if not record.is_slow:
+                self._usable_slots += self._health.limit(now, upstream_id)
+
+    def update(self, now: float, upstream_id: UpstreamId) -> None:
+        """Classify one upstream anew after a change of its counts or averages."""
+        record = self._health.records_by_id.get(upstream_id)
+        if record is None:
+            self._fast.discard(upstream_id)
+            for each in self._fast_by_zone.values():
+                each.discard(upstream_id)
+            self._slow.discard(upstream_id)
+            return
+        limit = self._health.limit(now, upstream_id)
+        is_free = self._outstanding[upstream_id] < limit
+        is_slow = record.is_slow or record.trial_only
+        zone = record.upstream.zone
+        in_zone = self._fast_by_zone.get(zone)
+        if in_zone is None:
+            in_zone = self._fast_by_zone[zone] = RandomSet()
+        if is_free and not is_slow:
+            self._fast.add(upstream_id)
+            in_zone.add(upstream_id)
+        else:
+            self._fast.discard(upstream_id)
+            in_zone.discard(upstream_id)
+        if is_free and is_slow:
+            self._slow.add(upstream_id)
+        else:
+            self._slow.discard(upstream_id)
+
+    def pick(
+        self,
+        now: float,
+        zone: str,
+        excluded: Collection[UpstreamId],
+        queue_length: int,
+    ) -> tuple[UpstreamId, str] | None:
+        """Return the upstream for the oldest waiting call and the grant's terms.
+
+        ``queue_length`` counts the waiting calls, this one included.
+        """
+        if self._slow:
+            trial = self._due_trial(now, excluded)
+            if trial is not None:
+                return trial, TRIAL
+        fast = self.pick_fast(zone, excluded)
+        if fast is not None:
+            return fast, REUSABLE
+        slow = self._worthwhile_slow(excluded, queue_length)
+        return None if slow is None else (slow, SINGLE_USE)
+
+    def pick_fast(self, zone: str, excluded: Collection[UpstreamId]) -> str | None:
+        """Return a free upstream that is not slow, in the own zone if possible."""
+        in_zone = self._fast_by_zone.get(zone)
+        if in_zone:
+            picked = in_zone.choose(self._rng, excluded)
+            if picked is not None:
+                return picked
+        return self._fast.choose(self._rng, excluded)
+
+    def has_reserve(self, part: float) -> bool:
+        """Whether more upstreams than a part of all have a free slot."""
+        return len(self._fast) > part * len(self._health.records_by_id)
+
+    def _due_trial(self, now: float, excluded: Collection[UpstreamId]) -> str | None:
+        for upstream_id in sorted(self._slow):
+            last = self._last_trial_by_id.get(upstream_id, float("-inf"))
+            if upstream_id not in excluded and now - last >= TRIAL_PERIOD_S:
+                self._last_trial_by_id[upstream_id] = now
+                return upstream_id
+        return None
+
+    def _worthwhile_slow(
+        self, excluded: Collection[UpstreamId], queue_length: int
+    ) -> UpstreamId | None:
+        """Return the fastest slow upstream if waiting for a fast one takes longer."""
+        records = self._health.records_by_id
+        candidates = [
+            each
+            for each in self._slow
+            if each not in excluded and not records[each].trial_only
+        ]
+        if not candidates:
+            return None
+        best = min(candidates, key=lambda each: (records[each].average_us, each))
+        mean_us = self._health.fast_mean_us
+        if self._usable_slots:
+            wait_us = queue_length * mean_us / self._usable_slots
+            if records[best].average_us > wait_us + mean_us:
+                return None
+        return best
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
@@ -55,13 +55,14 @@
     """The right to run one call on one slot of an upstream.
 
     ``reason`` and ``candidates`` go into the decision log. ``epoch_number`` is 0 for a
-    permit from the local share.
+    permit from the local share. ``number`` is unique at this gateway.
     """
 
     upstream: Upstream
     epoch_number: int
     reason: str
     candidates: int
+    number: int = 0
 
 
 class ClaimDecision(NamedTuple):
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -85,6 +85,7 @@
   4: optional list<SlotCount> in_use
   5: optional list<SlotCount> idle
   6: optional i64 waiting
+  7: optional i64 permits_received
 }
 
 struct Acquire {
@@ -93,6 +94,9 @@
   3: optional string epoch_member
   4: optional i64 waiting
   5: optional i64 oldest_wait_us
+  6: optional i64 permits_received
+  7: optional i64 spare
+  8: optional list<string> excluded
 }
 
 struct Grant {
@@ -102,6 +106,7 @@
   4: optional list<SlotCount> permits
   5: optional i64 reuse_after_us
   6: optional bool contended
+  7: optional string terms
 }
 
 struct Release {
@@ -112,6 +117,9 @@
   5: optional i64 waiting
   6: optional i64 oldest_wait_us
   7: optional list<AnswerSample> samples
+  8: optional i64 permits_received
+  9: optional i64 spare
+  10: optional list<string> excluded
 }
 
 struct Recall {
@@ -119,6 +127,7 @@
   2: optional i64 epoch_number
   3: optional string epoch_member
   4: optional i64 count
+  5: optional string upstream
 }
 
 struct UpstreamNotice {
