--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution: claims in fenced shards."""
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_owner.py
@@ -0,0 +1,393 @@
+"""The owner of one claim shard.
+
+Cases that decide the rules:
+
+- *Granted, but the runner never received the grant.* The claim is in the store. A
+  repeated request with the same attempt id gets the grant again; a runner that has
+  given up sends ``released``; a runner that is lost turns the claim ``unknown``.
+- *A runner asks a second owner while the first owner's write is on its way.* The
+  takeover fences that write (see ``shard_log``), so the second owner knows whether the
+  claim exists before it answers. The former owner replies nothing but NOT_OWNER or
+  UNAVAILABLE for a claim that it could not commit.
+- *A stale owner answers from memory.* It tells committed facts only: a grant to the
+  attempt that holds the claim, an outcome, or that a call is running. A grant repeated
+  after the attempt has ended is ignored by its runner.
+- *Runner lost.* ``unknown`` is never granted to another attempt, so a runner that was
+  only paused may still run the call and report its outcome.
+- *Expiry after takeover.* The time since a batch was written is not known to the new
+  owner, whose clock starts when it loads the batch. Claims are kept longer, never
+  shorter. A claim without an outcome is written again instead of deleted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from random import Random
+
+import msgspec
+
+from banyanshelf_core.claims.claim_table import WRITES_PER_SECOND, ClaimTable
+from banyanshelf_core.claims.records import (
+    ClaimRecord,
+    ClaimState,
+    StoreEffect,
+    StoreResult,
+    instance_of,
+    to_answer_record,
+    to_stored_answer,
+)
+from banyanshelf_core.claims.shard_log import Committed, Fenced, Loaded, ShardLog
+from banyanshelf_core.claims.waiting import Waiter, WaitingRequests
+from banyanshelf_core.messages import (
+    ClaimComplete,
+    ClaimCompleteAck,
+    ClaimRequest,
+    ClaimStatus,
+)
+from banyanshelf_core.model import MemberId, Send
+
+# A caller is refused rather than kept waiting once the store has been silent for so
+# long; a store call normally takes a few milliseconds.
+UNAVAILABLE_AFTER_S = 0.3
+# After a takeover by somebody else, so that members that disagree about the ranking do
+# not take the shard from each other in every round trip.
+RETAKE_DELAY_S = 0.5
+# A daemon that has just started may not know all members yet.
+LOST_RUNNER_GRACE_S = 2.0
+
+OwnerEffect = Send | StoreEffect
+
+
+class ShardOwner:
+    """Claims, duplicates, fencing and retention of one shard.
+
+    ``retention_s`` is the retention time of the operators' text in seconds; it may be
+    changed at any time.
+
+    Example:
+        ``owner.take(now)`` starts the takeover; ``owner.receive(now, sender, request)``
+        returns a reply or the store effects that precede it.
+
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        member_id: MemberId,
+        instance: str,
+        retention_s: float,
+        rng: Random,
+    ) -> None:
+        self.shard = shard
+        self.retention_s = retention_s
+        self.transaction_count = 0
+        self._log = ShardLog(shard, member_id, instance, rng)
+        self._members: frozenset[MemberId] = frozenset()
+        self._is_taken = False
+        self._is_leaving = False
+        self._retake_at: float | None = None
+        self._check_runners_at: float | None = None
+        self._next_write_at = 0.0
+        self._forget()
+
+    def _forget(self) -> None:
+        self._table = ClaimTable()
+        self._early = WaitingRequests()
+        self._duplicates = WaitingRequests()
+        self._instance_by_runner: dict[MemberId, str] = {}
+        self._check_runners_at = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether this member neither has nor wants the shard."""
+        return not self._is_taken
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether this member has taken the shard over and knows its claims."""
+        return self._log.is_loaded
+
+    def next_wake(self) -> float | None:
+        """Return when :meth:`tick` has something to do; None if never."""
+        return min(self._wake_times(), default=None)
+
+    def snapshot(self) -> dict[str, int | bool]:
+        """Return counts for the status page."""
+        return {
+            "shard": self.shard,
+            "owned": self._log.is_loaded,
+            "epoch": self._log.epoch,
+            "claims": len(self._table),
+            "batches": self._table.batch_count,
+            "waiting": len(self._duplicates),
+        }
+
+    def take(self, now: float) -> list[OwnerEffect]:
+        """Take the shard over; this member is ranked first for it."""
+        if self._is_taken:
+            return []
+        self._is_taken = True
+        self._is_leaving = False
+        return [*self._log.open(now)]
+
+    def drop(self) -> list[OwnerEffect]:
+        """Give the shard up at once; somebody else is ranked first for it."""
+        self._is_taken = False
+        self._retake_at = None
+        return self._drop_state()
+
+    def hand_over(self, now: float) -> list[OwnerEffect]:
+        """Refuse new requests, write what has arrived and then give the shard up.
+
+        :attr:`is_idle` tells when that is done.
+        """
+        if not self._log.is_loaded:
+            return self.drop()
+        self._is_leaving = True
+        self._table.hurry()
+        return self.tick(now)
+
+    def set_members(
+        self, now: float, member_ids: Collection[MemberId]
+    ) -> list[OwnerEffect]:
+        """Take the live members; claims of members that left become unknown."""
+        self._members = frozenset(member_ids)
+        if not self._log.is_loaded or self._check_runners_at is not None:
+            return []
+        return [*self._mark_lost_runners(now), *self.tick(now)]
+
+    def receive(
+        self,
+        now: float,
+        sender: MemberId,
+        message: ClaimRequest | ClaimComplete,
+    ) -> list[OwnerEffect]:
+        """Handle a message of a runner."""
+        match message:
+            case ClaimRequest():
+                return [*self._receive_request(now, sender, message), *self.tick(now)]
+            case ClaimComplete() if self._log.is_loaded:
+                return [*self._complete(now, sender, message), *self.tick(now)]
+        # The runner repeats a ClaimComplete until it is acknowledged.
+        return []
+
+    def handle(self, now: float, result: StoreResult) -> list[OwnerEffect]:
+        """Take a result from the store."""
+        store_effects, event = self._log.handle(now, result)
+        effects: list[OwnerEffect] = [*store_effects]
+        match event:
+            case Loaded():
+                effects.extend(self._load(now, event))
+            case Committed():
+                effects.extend(self._table.committed(now, self._log.next_batch - 1))
+            case Fenced():
+                effects.extend(self._drop_state())
+                self._retake_at = now + RETAKE_DELAY_S
+        return [*effects, *self.tick(now)]
+
+    def tick(self, now: float) -> list[OwnerEffect]:
+        """Do what is due: retries, refusals, expiry and the next transaction."""
+        effects: list[OwnerEffect] = []
+        if self._retake_at is not None and now >= self._retake_at:
+            self._retake_at = None
+            effects.extend(self.drop() if self._is_leaving else self._log.open(now))
+        effects.extend(self._log.tick(now))
+        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
+            effects.extend(self._refuse_pending())
+        effects.extend(self._expire_waiters(now))
+        if self._check_runners_at is not None and now >= self._check_runners_at:
+            self._check_runners_at = None
+            effects.extend(self._mark_lost_runners(now))
+        if self._log.can_write:
+            self._table.expire(now, self.retention_s)
+            effects.extend(self._write(now))
+            if self._is_leaving and self._log.can_write and not self._table.has_changes:
+                effects.extend(self.drop())
+        return effects
+
+    def _write(self, now: float) -> list[OwnerEffect]:
+        write_time = self._table.write_time(self._next_write_at)
+        if write_time is None or now < write_time:
+            return []
+        claims, deleted_batches = self._table.take_batch()
+        self._next_write_at = now + 1 / WRITES_PER_SECOND
+        self.transaction_count += 1
+        return [*self._log.write(now, claims, deleted_batches)]
+
+    def _receive_request(
+        self, now: float, sender: MemberId, request: ClaimRequest
+    ) -> list[OwnerEffect]:
+        waiter = Waiter(sender, request, now + request.wait_ms / 1000)
+        if not self._is_taken or self._is_leaving or self._retake_at is not None:
+            return [waiter.reply(ClaimStatus.NOT_OWNER)]
+        if self._log.is_loaded:
+            lost = self._mark_former_instance(now, sender, request.attempt_id)
+            return [*lost, *self._request(now, waiter)]
+        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
+            return [waiter.reply(ClaimStatus.UNAVAILABLE)]
+        self._early.add(waiter)
+        return []
+
+    def _request(self, now: float, waiter: Waiter) -> list[OwnerEffect]:
+        claim = self._table.get(waiter.key)
+        if claim is not None and claim.attempt_id == waiter.request.attempt_id:
+            return self._tell(waiter, claim, claim.state.holder_status)
+        if claim is None or claim.state is ClaimState.RELEASED:
+            return self._claim(now, waiter)
+        if claim.body_digest != waiter.request.body_digest:
+            return self._tell(waiter, claim, ClaimStatus.CONFLICT)
+        match claim.state:
+            case ClaimState.CLAIMED:
+                self._duplicates.add(waiter)
+                return []
+            case ClaimState.COMPLETED:
+                return self._tell(waiter, claim, ClaimStatus.COMPLETED)
+            case _:
+                return self._tell(waiter, claim, ClaimStatus.UNKNOWN)
+
+    def _claim(self, now: float, waiter: Waiter) -> list[OwnerEffect]:
+        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
+            return [waiter.reply(ClaimStatus.UNAVAILABLE)]
+        claim = ClaimRecord(
+            waiter.key,
+            waiter.request.body_digest,
+            waiter.sender,
+            waiter.request.attempt_id,
+            ClaimState.CLAIMED,
+        )
+        self._table.change(now, claim, urgent=True)
+        return self._tell(waiter, claim, ClaimStatus.GRANTED)
+
+    def _complete(
+        self, now: float, sender: MemberId, message: ClaimComplete
+    ) -> list[OwnerEffect]:
+        key, attempt_id = message.key_digest, message.attempt_id
+        acknowledgement = Send(sender, ClaimCompleteAck(attempt_id))
+        claim = self._table.get(key)
+        self._duplicates.remove(key, attempt_id)
+        if claim is not None and claim.attempt_id != attempt_id:
+            # A stale owner may not know the claim, so only a committed transaction
+            # proves that the attempt holds none.
+            self._table.after_next_write(now, key, attempt_id, acknowledgement)
+            return []
+        state = ClaimState.from_outcome(message.outcome)
+        if claim is not None and (
+            claim.state in (ClaimState.COMPLETED, ClaimState.RELEASED)
+            or claim.state is state
+        ):
+            return [*self._table.when_durable(key, attempt_id, acknowledgement)]
+        self._table.withdraw(key, attempt_id)
+        outcome = ClaimRecord(
+            key,
+            message.body_digest,
+            sender if claim is None else claim.runner,
+            attempt_id,
+            state,
+            to_answer_record(message.answer),
+        )
+        self._table.change(now, outcome, urgent=False)
+        self._table.after_next_write(now, key, attempt_id, acknowledgement)
+        return self._settle_duplicates(now, key)
+
+    def _settle_duplicates(self, now: float, key: str) -> list[OwnerEffect]:
+        """Decide the duplicates of a call that has ended."""
+        effects: list[OwnerEffect] = []
+        for waiter in self._duplicates.pop_key(key):
+            self._table.hurry()
+            effects.extend(self._request(now, waiter))
+        return effects
+
+    def _mark_lost_runners(self, now: float) -> list[OwnerEffect]:
+        effects: list[OwnerEffect] = []
+        for runner in self._table.runners():
+            if runner not in self._members:
+                for claim in self._table.running_claims(runner):
+                    effects.extend(self._mark_unknown(now, claim))
+        return effects
+
+    def _mark_former_instance(
+        self, now: float, runner: MemberId, attempt_id: str
+    ) -> list[OwnerEffect]:
+        """Mark the claims of a process that was restarted under the same member id."""
+        instance = instance_of(attempt_id)
+        if self._instance_by_runner.get(runner) == instance:
+            return []
+        self._instance_by_runner[runner] = instance
+        effects: list[OwnerEffect] = []
+        for claim in self._table.running_claims(runner):
+            if claim.instance != instance:
+                effects.extend(self._mark_unknown(now, claim))
+        return effects
+
+    def _mark_unknown(self, now: float, claim: ClaimRecord) -> list[OwnerEffect]:
+        unknown = msgspec.structs.replace(claim, state=ClaimState.UNKNOWN)
+        self._table.change(now, unknown, urgent=False)
+        return self._settle_duplicates(now, claim.key_digest)
+
+    def _tell(
+        self, waiter: Waiter, claim: ClaimRecord, status: ClaimStatus
+    ) -> list[OwnerEffect]:
+        answer = None
+        if status is ClaimStatus.COMPLETED:
+            answer = to_stored_answer(claim.answer)
+        reply = waiter.reply(status, answer)
+        attempt_id = waiter.request.attempt_id
+        return [*self._table.when_durable(waiter.key, attempt_id, reply)]
+
+    def _refuse_pending(self) -> list[OwnerEffect]:
+        """Refuse the requests that wait for the store.
+
+        A claim among them may still be committed; its runner releases it.
+        """
+        return [
+            *(each.reply(ClaimStatus.UNAVAILABLE) for each in self._early.pop_all()),
+            *self._table.refuse(ClaimStatus.UNAVAILABLE),
+        ]
+
+    def _drop_state(self) -> list[OwnerEffect]:
+        self._log.close()
+        waiters = [*self._early.pop_all(), *self._duplicates.pop_all()]
+        refused = self._table.refuse(ClaimStatus.NOT_OWNER)
+        self._forget()
+        return [*(each.reply(ClaimStatus.NOT_OWNER) for each in waiters), *refused]
+
+    def _expire_waiters(self, now: float) -> list[OwnerEffect]:
+        effects: list[OwnerEffect] = [
+            waiter.reply(ClaimStatus.UNAVAILABLE)
+            for waiter in self._early.pop_expired(now)
+        ]
+        for waiter in self._duplicates.pop_expired(now):
+            claim = self._table.get(waiter.key)
+            assert claim is not None  # Running claims do not expire.
+            effects.extend(self._tell(waiter, claim, ClaimStatus.RUNNING))
+        return effects
+
+    def _load(self, now: float, event: Loaded) -> list[OwnerEffect]:
+        self._table.load(now, event.claims_by_batch)
+        self._check_runners_at = now + LOST_RUNNER_GRACE_S
+        effects: list[OwnerEffect] = []
+        for waiter in self._early.pop_all():
+            effects.extend(self._request(now, waiter))
+        return effects
+
+    def _wake_times(self) -> Iterator[float]:
+        for time in (
+            self._retake_at,
+            self._log.next_wake,
+            self._check_runners_at,
+            self._early.next_expiry,
+            self._duplicates.next_expiry,
+        ):
+            if time is not None:
+                yield time
+        if self._log.can_write:
+            write_time = self._table.write_time(self._next_write_at)
+            if write_time is not None:
+                yield write_time
+            kept_since = self._table.oldest_kept_since
+            if kept_since is not None:
+                yield kept_since + self.retention_s
+        elif self._log.blocked_since is not None and (
+            self._early or self._table.has_requests
+        ):
+            yield self._log.blocked_since + UNAVAILABLE_AFTER_S
