Make the default path prefixes of a service importable

Cause: msgspec refuses a non-empty list as a default value, so importing banyanshelf_core.text raised TypeError.

Change: the default comes from a factory.

Conclusion: the schema is unchanged.

--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -50,7 +50,7 @@
     """
 
     hosts: list[str] = []
-    path_prefixes: list[str] = ["/"]
+    path_prefixes: list[str] = msgspec.field(default_factory=lambda: ["/"])
     depends_on: list[str] = []
     slots_per_upstream: int = 3
     connections_per_upstream: int = 200
