Serve plain calls through the gateway's data path

No timing has been measured yet.

Claims, crash marks, hedged attempts, deadlines of the service listener and upstream signals are missing.

--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/matching.py
@@ -0,0 +1,185 @@
+"""Maps a request to its service and to the rules of the operators' text."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from banyanshelf_core.errors import RequestError
+from banyanshelf_core.model import ServiceName
+from banyanshelf_core.text import OperatorText, Route, Service
+
+# RFC 9110, section 9.2.2.
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+
+_REPEATED_SLASHES = re.compile("//+")
+
+
+class RouteDecision(NamedTuple):
+    """The rules that apply to one request.
+
+    ``path_prefix`` is the prefix that selected the service. ``key`` is the idempotency
+    key of a non-idempotent call, if it has one; ``credential`` is empty without one.
+    """
+
+    service_name: ServiceName
+    service: Service
+    path_prefix: str
+    idempotent: bool
+    require_key: bool
+    timeout_s: float
+    key: bytes | None
+    credential: bytes
+
+
+class _Rule(NamedTuple):
+    path_prefix: str
+    methods: frozenset[str]
+    idempotent: bool | None
+    require_key: bool
+    timeout_s: float
+
+
+class _Candidate(NamedTuple):
+    path_prefix: str
+    service_name: ServiceName
+    service: Service
+    rules: list[_Rule]
+    key_header: bytes
+    credential_header: bytes
+
+
+class RequestMatcher:
+    """Finds the service and the route of a request.
+
+    A service that names the host goes before one for any host; then the longest path
+    prefix wins. Prefixes match whole path segments: ``/pay`` matches ``/pay/1`` but not
+    ``/payments``. Percent-encoding and repeated slashes do not change the match, so
+    that a rule cannot be evaded by writing a path differently.
+    """
+
+    def __init__(self, candidates_by_host: Mapping[str, list[_Candidate]]) -> None:
+        self._candidates_by_host = candidates_by_host
+        self._any_host = candidates_by_host.get("*", [])
+
+    @classmethod
+    def from_text(cls, text: OperatorText) -> RequestMatcher:
+        """Prepare the lookup of an accepted text."""
+        candidates_by_host: dict[str, list[_Candidate]] = {}
+        for name, service in text.services.items():
+            rules = sorted(
+                (_rule(route, service) for route in service.routes),
+                key=lambda rule: (len(rule.path_prefix), bool(rule.methods)),
+                reverse=True,
+            )
+            for host in service.hosts or ["*"]:
+                candidates_by_host.setdefault(host.lower(), []).extend(
+                    _Candidate(
+                        prefix,
+                        name,
+                        service,
+                        rules,
+                        service.idempotency_header.lower().encode("latin-1"),
+                        service.credential_header.lower().encode("latin-1"),
+                    )
+                    for prefix in service.path_prefixes
+                )
+        for candidates in candidates_by_host.values():
+            candidates.sort(key=lambda found: len(found.path_prefix), reverse=True)
+        return cls(candidates_by_host)
+
+    def match(
+        self,
+        host: str,
+        path: str,
+        method: str,
+        headers: Mapping[bytes, bytes],
+    ) -> RouteDecision:
+        """Return the rules for a request; ``headers`` has lower-case names.
+
+        Raises :class:`RequestError` with 404 if no service matches, and with 400 for a
+        path with dot segments, which two servers may resolve differently.
+        """
+        path = normalize_path(path)
+        named = self._candidates_by_host.get(_host_name(host), ())
+        candidate = _first_match(named, path) or _first_match(self._any_host, path)
+        if candidate is None:
+            raise RequestError(404, f"no service is configured for {host}{path}")
+        service = candidate.service
+        rule = _first_rule(candidate.rules, path, method)
+        idempotent = method in IDEMPOTENT_METHODS
+        if rule is None:
+            require_key, timeout_s = False, service.timeout_ms / 1000
+        else:
+            require_key, timeout_s = rule.require_key, rule.timeout_s
+            if rule.idempotent is not None:
+                idempotent = rule.idempotent
+        return RouteDecision(
+            candidate.service_name,
+            service,
+            candidate.path_prefix,
+            idempotent,
+            require_key,
+            timeout_s,
+            None if idempotent else headers.get(candidate.key_header),
+            headers.get(candidate.credential_header, b""),
+        )
+
+
+def normalize_path(path: str) -> str:
+    """Decode a path for matching; raises :class:`RequestError` for dot segments."""
+    if "%" in path:
+        path = unquote(path, errors="replace")
+    if "//" in path:
+        path = _REPEATED_SLASHES.sub("/", path)
+    if "/." in path and not {".", ".."}.isdisjoint(path.split("/")):
+        raise RequestError(400, "the path has dot segments; send the resolved path")
+    if "\\" in path:
+        raise RequestError(400, "the path has a backslash; use / between segments")
+    return path
+
+
+def _rule(route: Route, service: Service) -> _Rule:
+    timeout_ms = service.timeout_ms if route.timeout_ms is None else route.timeout_ms
+    return _Rule(
+        route.path_prefix,
+        frozenset(method.upper() for method in route.methods),
+        route.idempotent,
+        route.require_key,
+        timeout_ms / 1000,
+    )
+
+
+def _host_name(host: str) -> str:
+    host = host.lower()
+    if ":" not in host:
+        return host
+    name, _, port = host.rpartition(":")
+    return name if port.isdigit() else host
+
+
+def _covers(prefix: str, path: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    end = len(prefix)
+    return len(path) == end or prefix.endswith("/") or path[end] == "/"
+
+
+def _first_match(
+    candidates: list[_Candidate] | tuple[()], path: str
+) -> _Candidate | None:
+    for candidate in candidates:
+        if _covers(candidate.path_prefix, path):
+            return candidate
+    return None
+
+
+def _first_rule(rules: list[_Rule], path: str, method: str) -> _Rule | None:
+    for rule in rules:
+        if _covers(rule.path_prefix, path) and (
+            not rule.methods or method in rule.methods
+        ):
+            return rule
+    return None
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/retry.py
@@ -0,0 +1,120 @@
+"""Decides whether a failed attempt is retried and when a call is hedged."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+from banyanshelf_core.text import Service
+
+WINDOW_S = 10.0
+MIN_RETRIES_PER_SECOND = 1.0
+HEDGE_SAMPLES = 256
+# Fewer answers give no usable 95th percentile.
+MIN_HEDGE_SAMPLES = 20
+# Sorting the samples takes 11 µs, so it is done once per so many answers.
+PERCENTILE_INTERVAL = 32
+RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+class Failure(enum.Enum):
+    """How an attempt failed, as far as it matters for a retry."""
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    CUT = "cut"
+    ERROR = "error"
+    EXHAUSTED = "exhausted"
+
+
+class RetryBudget:
+    """Limits retries and hedged attempts to a share of the recent calls.
+
+    Calls and retries are counted per second over the last 10 s. Independently of the
+    share, one retry a second is allowed, so that a quiet service can retry at all.
+    """
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._seconds: deque[list[float]] = deque()
+        self._calls = 0
+        self._retries = 0
+
+    def note_call(self, now: float) -> None:
+        """Count a call, which earns a share of a retry."""
+        self._bucket(now)[1] += 1
+        self._calls += 1
+
+    def try_retry(self, now: float) -> bool:
+        """Count a retry and return True if the budget covers it."""
+        bucket = self._bucket(now)
+        if self._retries + 1 > self._share * self._calls and (
+            bucket[2] + 1 > MIN_RETRIES_PER_SECOND
+        ):
+            return False
+        bucket[2] += 1
+        self._retries += 1
+        return True
+
+    def _bucket(self, now: float) -> list[float]:
+        second = now // 1.0
+        seconds = self._seconds
+        if not seconds or seconds[-1][0] != second:
+            seconds.append([second, 0, 0])
+            while seconds[0][0] <= second - WINDOW_S:
+                _, calls, retries = seconds.popleft()
+                self._calls -= int(calls)
+                self._retries -= int(retries)
+        return seconds[-1]
+
+
+class RetryPolicy:
+    """Retry and hedging rules of one service."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._budget = RetryBudget(service.retry_share)
+        self._times_s: deque[float] = deque(maxlen=HEDGE_SAMPLES)
+        self._since_percentile = 0
+        self._hedge_delay_s: float | None = None
+
+    def note_call(self, now: float) -> None:
+        """Count a call towards the retry budget."""
+        self._budget.note_call(now)
+
+    def note_answer(self, service_time_s: float) -> None:
+        """Add the service time of an answered attempt."""
+        self._times_s.append(service_time_s)
+        self._since_percentile += 1
+        if self._since_percentile >= PERCENTILE_INTERVAL or (
+            len(self._times_s) == MIN_HEDGE_SAMPLES
+        ):
+            self._since_percentile = 0
+            ordered = sorted(self._times_s)
+            self._hedge_delay_s = ordered[len(ordered) * 95 // 100]
+
+    def may_retry(
+        self, failure: Failure, *, idempotent: bool, attempts: int, now: float
+    ) -> bool:
+        """Tell whether another attempt may follow; if so, the budget is charged.
+
+        ``attempts`` counts those made so far. A request that never reached the
+        application may always be repeated, any other one only if it is idempotent. An
+        answer of a deeper gateway that used up its retries is final.
+        """
+        if failure is Failure.EXHAUSTED or attempts >= self._service.max_attempts:
+            return False
+        harmless = failure in (Failure.NOT_SENT, Failure.NOT_RUN)
+        if not harmless and not idempotent:
+            return False
+        return self._budget.try_retry(now)
+
+    def hedge_delay_s(self, *, idempotent: bool) -> float | None:
+        """Return how long to wait for an answer before a second attempt, if ever."""
+        if not idempotent or not self._service.hedge or self._service.max_attempts < 2:
+            return None
+        return self._hedge_delay_s
+
+    def may_hedge(self, now: float) -> bool:
+        """Charge the budget for a hedged attempt if it covers one."""
+        return self._budget.try_retry(now)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -0,0 +1,363 @@
+"""HTTP/1.1 server side: one call at a time per connection, answers in order."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol as Contract
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from banyanshelf_core.errors import RequestError
+from banyanshelf_core.model import Outcome
+from banyanshelf_daemon.http_message import Answer, Header, Request, serialize_head
+from banyanshelf_daemon.problem import problem_answer
+from banyanshelf_daemon.request_reader import RequestReader
+from banyanshelf_daemon.settings import Settings
+
+HEAD_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+KEEP_ALIVE_TIMEOUT_S = 75.0
+SLOW_READER_TIMEOUT_S = 30.0
+SWEEP_INTERVAL_S = 1.0
+
+
+class Producer(Contract):
+    """The source of a streamed answer."""
+
+    def pause(self) -> None:
+        """Stop producing while the caller reads slowly."""
+
+    def resume(self) -> None:
+        """Produce again."""
+
+
+class RunningCall(Contract):
+    """A call in progress."""
+
+    def caller_gone(self) -> None:
+        """Note that nobody waits for the answer any more."""
+
+
+class Handler(Contract):
+    """Serves requests; see ``CallHandler``."""
+
+    def start(
+        self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
+    ) -> RunningCall | None:
+        """Serve a request; the result is None if it has been answered already."""
+
+    def refused(self, status: int, detail: str) -> None:
+        """Note a request that was refused before routing."""
+
+
+class Exchange:
+    """One request's way to answer; it has no effect once it is over.
+
+    Either ``answer`` is called once, or ``begin``, ``write`` and then ``finish`` or
+    ``abort``.
+    """
+
+    def __init__(self, connection: CallerConnection, request: Request) -> None:
+        self._connection: CallerConnection | None = connection
+        self._request = request
+        self._is_chunked = False
+        self.call: RunningCall | None = None
+        self.producer: Producer | None = None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._connection is None
+
+    def answer(self, answer: Answer) -> None:
+        """Send a whole answer."""
+        connection = self._connection
+        if connection is None:
+            return
+        close = self._must_close(connection)
+        length = len(answer.body)
+        if self._request.method == "HEAD":
+            # The upstream's length describes the body that GET would have.
+            length = -1
+        head = serialize_head(answer.status, answer.headers, length, close=close)
+        connection.transport.write(head if length < 0 else head + answer.body)
+        self._end(connection, close)
+
+    def begin(
+        self, status: int, headers: list[Header], length: int | None, producer: Producer
+    ) -> None:
+        """Send the head of a streamed answer."""
+        connection = self._connection
+        if connection is None:
+            return
+        self._is_chunked = length is None and not self._request.is_http_1_0
+        if length is None and not self._is_chunked:
+            length = -1
+        self.producer = producer
+        close = self._must_close(connection)
+        connection.transport.write(serialize_head(status, headers, length, close=close))
+        if connection.is_write_paused:
+            producer.pause()
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if self._connection is None or not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.transport.write(data)
+
+    def finish(self) -> None:
+        """End a whole streamed answer."""
+        connection = self._connection
+        if connection is None:
+            return
+        if self._is_chunked:
+            connection.transport.write(b"0\r\n\r\n")
+        self._end(connection, self._must_close(connection))
+
+    def abort(self) -> None:
+        """Cut the connection so that the answer cannot pass for a whole one."""
+        connection = self._connection
+        if connection is not None:
+            connection.transport.abortConnection()
+
+    def disconnected(self) -> None:
+        """Note that the caller's connection is closed."""
+        self._connection = None
+        if self.call is not None:
+            self.call.caller_gone()
+
+    def _must_close(self, connection: CallerConnection) -> bool:
+        return not self._request.keep_alive or connection.factory.is_stopping
+
+    def _end(self, connection: CallerConnection, close: bool) -> None:
+        self._connection = None
+        self.producer = None
+        connection.exchange_over(close=close)
+
+
+class CallerConnection(Protocol):
+    """One connection of a caller."""
+
+    factory: CallerServerFactory
+
+    def __init__(self, factory: CallerServerFactory) -> None:
+        self.factory = factory
+        self.is_write_paused = False
+        self._reader = RequestReader(factory.settings.max_body_bytes)
+        self._exchange: Exchange | None = None
+        self._is_serving = False
+        self._is_closing = False
+        self._is_read_paused = False
+        self._deadline = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Accept the connection unless there are too many."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._deadline = self.factory.now() + HEAD_TIMEOUT_S
+        if not self.factory.add(self):
+            self._refuse(RequestError(503, "too many connections"))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read requests and serve them in order."""
+        if self._is_closing:
+            return
+        reader = self._reader
+        was_idle = reader.is_idle
+        had_head = not reader.in_head
+        reader.feed(data)
+        if self._exchange is None or self._is_serving:
+            self._serve()
+        if reader.is_idle:
+            if self._exchange is None:
+                self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
+        elif was_idle or (had_head != (not reader.in_head)):
+            timeout_s = HEAD_TIMEOUT_S if reader.in_head else BODY_TIMEOUT_S
+            self._deadline = self.factory.now() + timeout_s
+        if reader.received and not self._is_read_paused:
+            # Read on when the requests that are waiting have been served.
+            self._is_read_paused = True
+            self.transport.pauseProducing()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Tell the call in progress."""
+        self._is_closing = True
+        self.factory.remove(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self.factory.call_over()
+            exchange.disconnected()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop the answer while the caller reads slowly (called by the transport)."""
+        self.is_write_paused = True
+        self._deadline = self.factory.now() + SLOW_READER_TIMEOUT_S
+        if self._exchange is not None and self._exchange.producer is not None:
+            self._exchange.producer.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Continue the answer (called by the transport)."""
+        self.is_write_paused = False
+        if self._exchange is None:
+            self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
+            self._serve()
+        elif self._exchange.producer is not None:
+            self._exchange.producer.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing, as ``connectionLost`` follows (called by the transport)."""
+
+    def exchange_over(self, *, close: bool) -> None:
+        """Serve the next request after an answer."""
+        self._exchange = None
+        self.factory.call_over()
+        if close or self._is_closing:
+            self.close()
+            return
+        if self._reader.is_idle:
+            self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
+        if not self._is_serving:
+            self._serve()
+
+    def close(self) -> None:
+        """Close after everything written has been sent."""
+        if not self._is_closing:
+            self._is_closing = True
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is being received or served."""
+        if self._exchange is None and self._reader.is_idle:
+            self.close()
+
+    def check_deadline(self, now: float) -> None:
+        """Close a connection that is idle, or too slow to send or to read."""
+        if now < self._deadline:
+            return
+        if self.is_write_paused:
+            self.transport.abortConnection()
+        elif self._exchange is None and not self._is_closing:
+            if self._reader.is_idle:
+                self.close()
+            else:
+                self._refuse(RequestError(408, "the request arrived too slowly"))
+
+    def _serve(self) -> None:
+        # A loop, as a long pipeline of refused requests would nest too deeply.
+        self._is_serving = True
+        reader = self._reader
+        while self._exchange is None and not (self._is_closing or self.is_write_paused):
+            if not reader.received:
+                if reader.error is not None:
+                    self._refuse(reader.error)
+                elif reader.wants_continue:
+                    reader.wants_continue = False
+                    self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                break
+            request = reader.received.popleft()
+            exchange = self._exchange = Exchange(self, request)
+            self.factory.call_begun()
+            exchange.call = self.factory.handler.start(
+                request,
+                exchange,
+                trust_internal_headers=self.factory.trust_internal_headers,
+            )
+        self._is_serving = False
+        if self._is_read_paused and not reader.received and not self._is_closing:
+            self._is_read_paused = False
+            self.transport.resumeProducing()
+
+    def _refuse(self, error: RequestError) -> None:
+        self.factory.handler.refused(error.status, error.detail)
+        answer = problem_answer(
+            error.status, error.detail, Outcome.NOT_RUN, "http_request_error"
+        )
+        self.transport.write(
+            serialize_head(answer.status, answer.headers, len(answer.body), close=True)
+            + answer.body
+        )
+        self.close()
+
+
+class CallerServerFactory(Factory):
+    """Accepts connections of callers, or of backend servers that call services.
+
+    Internal headers are trusted only on the listener for backend servers.
+    """
+
+    noisy = False
+
+    def __init__(
+        self, handler: Any, settings: Settings, trust_internal_headers: bool
+    ) -> None:
+        self.handler: Handler = handler
+        self.settings = settings
+        self.trust_internal_headers = trust_internal_headers
+        self.calls_in_progress = 0
+        self.is_stopping = False
+        self.drained: Deferred[None] = Deferred()
+        self._reactor = handler.reactor
+        self._connections: set[CallerConnection] = set()
+        self._sweep_call: Any = None
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return float(self._reactor.seconds())
+
+    def buildProtocol(self, _address: Any) -> CallerConnection:  # noqa: N802
+        """Create the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def stop_accepting(self) -> Deferred[None]:
+        """Close each connection after its current call.
+
+        The result, also available as ``drained``, fires once no call is in progress;
+        idle connections are closed then.
+        """
+        if not self.is_stopping:
+            self.is_stopping = True
+            self._check_drained()
+        return self.drained
+
+    def add(self, connection: CallerConnection) -> bool:
+        """Count a connection; the result is False if there are too many."""
+        if len(self._connections) >= self.settings.max_connections:
+            return False
+        self._connections.add(connection)
+        if self._sweep_call is None:
+            self._sweep_call = self._reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
+        return True
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+    def call_begun(self) -> None:
+        """Count a call."""
+        self.calls_in_progress += 1
+
+    def call_over(self) -> None:
+        """Count the end of a call."""
+        self.calls_in_progress -= 1
+        if self.is_stopping:
+            self._check_drained()
+
+    def _check_drained(self) -> None:
+        if self.calls_in_progress or self.drained.called:
+            return
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        self.drained.callback(None)
+
+    def _sweep(self) -> None:
+        self._sweep_call = None
+        now = self.now()
+        for connection in list(self._connections):
+            connection.check_deadline(now)
+        if self._connections:
+            self._sweep_call = self._reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
@@ -0,0 +1,95 @@
+"""JSON lines on standard error: routing decisions and events of the daemon.
+
+One line is written per routing decision. Idempotency keys and credentials never appear;
+callers of this module pass digests.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any, BinaryIO
+
+import logbook
+import msgspec
+
+from banyanshelf_core.errors import SettingsError
+
+# Lines are collected for one reactor turn, but not beyond this size.
+MAX_PENDING_BYTES = 64 * 1024
+
+
+class JsonLinesHandler(logbook.Handler):
+    """Encodes records as JSON lines and writes those of one turn together."""
+
+    def __init__(self, reactor: Any, stream: BinaryIO, level: int) -> None:
+        super().__init__(level=level, bubble=False)
+        self._reactor = reactor
+        self._stream = stream
+        self._encode_into = msgspec.json.Encoder().encode_into
+        self._pending = bytearray()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Add one line."""
+        fields = {
+            "time": record.time.isoformat(timespec="microseconds"),
+            "level": record.level_name.lower(),
+            "event": record.msg,
+            **record.extra,
+        }
+        pending = self._pending
+        if not pending:
+            self._reactor.callLater(0, self.flush)
+        self._encode_into(fields, pending, -1)
+        pending += b"\n"
+        if len(pending) > MAX_PENDING_BYTES:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write the collected lines; a closed stream loses them."""
+        if not self._pending:
+            return
+        lines = bytes(self._pending)
+        self._pending.clear()
+        try:
+            self._stream.write(lines)
+            self._stream.flush()
+        except (OSError, ValueError):
+            return
+
+
+class DecisionLog:
+    """The daemon's log.
+
+    Example:
+        ``log.event("config_adopted", version=7)``
+
+    """
+
+    def __init__(
+        self, reactor: Any, level: str = "info", stream: BinaryIO | None = None
+    ) -> None:
+        try:
+            number = logbook.lookup_level(level.upper())
+        except LookupError as error:
+            raise SettingsError(
+                f"unknown log_level {level!r}; write debug, info, warning or error"
+            ) from error
+        self._handler = JsonLinesHandler(reactor, stream or sys.stderr.buffer, number)
+        self._logger = logbook.Logger("banyanshelf", number)
+        self._logger.handlers.append(self._handler)
+
+    def decision(self, **fields: Any) -> None:
+        """Write the line of one routing or placement decision."""
+        self._logger.info("decision", extra=fields)
+
+    def event(self, event: str, **fields: Any) -> None:
+        """Write a line about something that happens rarely."""
+        self._logger.info(event, extra=fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write a line about a fault that the daemon copes with."""
+        self._logger.warning(event, extra=fields)
+
+    def flush(self) -> None:
+        """Write what has been collected, for use before the process ends."""
+        self._handler.flush()
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -0,0 +1,145 @@
+"""Requests and answers as values, and the header rules of a gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import NamedTuple
+
+# (lower-case name, name as received, value).
+Header = tuple[bytes, bytes, bytes]
+
+# RFC 9110, section 7.6.1; fields that describe one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# The gateway writes these itself.
+_REWRITTEN_IN_REQUESTS = HOP_BY_HOP | {b"content-length", b"expect"}
+_REWRITTEN_IN_ANSWERS = HOP_BY_HOP | {b"content-length"}
+_INTERNAL_PREFIX = b"banyanshelf-"
+
+_REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
+_STATUS_LINES = {
+    status: f"HTTP/1.1 {status} {reason}\r\n".encode()
+    for status, reason in _REASON_BY_STATUS.items()
+}
+
+
+class Request(NamedTuple):
+    """One whole request of a caller.
+
+    ``target`` is in origin form, ``path`` is the target without the query, and
+    ``value_by_name`` joins repeated headers with a comma, as RFC 9110 allows.
+    """
+
+    method: str
+    target: bytes
+    path: str
+    host: str
+    headers: list[Header]
+    value_by_name: dict[bytes, bytes]
+    body: bytes
+    keep_alive: bool
+    is_http_1_0: bool
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer; ``length`` is None for a chunked body."""
+
+    status: int
+    headers: list[Header]
+    length: int | None
+
+
+class Answer(NamedTuple):
+    """A whole answer, ready for the caller."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+
+def header(name: str, value: str) -> Header:
+    """Build a header from text."""
+    raw = name.encode("latin-1")
+    return raw.lower(), raw, value.encode("latin-1", "replace")
+
+
+def value_of(headers: Iterable[Header], lower_name: bytes) -> bytes | None:
+    """Return the first value of a header."""
+    for lower, _, value in headers:
+        if lower == lower_name:
+            return value
+    return None
+
+
+def connection_options(value: bytes | None) -> frozenset[bytes]:
+    """Return the lower-case names listed in a Connection header."""
+    if not value:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in value.split(b","))
+
+
+def forwarded_request(request: Request, internal_headers: bytes) -> bytes:
+    """Serialize a request for an upstream.
+
+    ``internal_headers`` are complete header lines of this gateway. Headers with the
+    internal prefix that came with the request are never passed on.
+    """
+    named = connection_options(request.value_by_name.get(b"connection"))
+    lines = [f"{request.method} ".encode(), request.target, b" HTTP/1.1\r\n"]
+    for lower, name, value in request.headers:
+        if (
+            lower in _REWRITTEN_IN_REQUESTS
+            or lower in named
+            or lower.startswith(_INTERNAL_PREFIX)
+        ):
+            continue
+        lines.append(b"%b: %b\r\n" % (name, value))
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines += (internal_headers, b"\r\n", request.body)
+    return b"".join(lines)
+
+
+def forwarded_headers(headers: list[Header]) -> list[Header]:
+    """Return the headers of an upstream's answer that are meant for the caller."""
+    named: frozenset[bytes] = frozenset()
+    for lower, _, value in headers:
+        if lower == b"connection":
+            named |= connection_options(value)
+    return [
+        entry
+        for entry in headers
+        if entry[0] not in _REWRITTEN_IN_ANSWERS
+        and entry[0] not in named
+        and not entry[0].startswith(_INTERNAL_PREFIX)
+    ]
+
+
+def serialize_head(
+    status: int, headers: Iterable[Header], length: int | None, *, close: bool
+) -> bytes:
+    """Serialize the head of an answer.
+
+    ``length`` of None announces chunked transfer coding, -1 announces neither.
+    """
+    lines = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status]
+    lines += [b"%b: %b\r\n" % (name, value) for _, name, value in headers]
+    if status != 204 and status != 304:
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        elif length >= 0:
+            lines.append(b"Content-Length: %d\r\n" % length)
+    lines.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
+    return b"".join(lines)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -0,0 +1,118 @@
+"""Measurements for a statsd collector over UDP.
+
+Names are prefixed with ``banyanshelf.MEMBER_ID``. Dots in service names are written as
+underscores.
+
+| name | type | unit |
+|---|---|---|
+| ``call.SERVICE.count`` | counter | calls received |
+| ``call.SERVICE.time`` | timing | ms from the whole request to the answer |
+| ``call.SERVICE.added`` | timing | ms of that outside the answering attempt |
+| ``call.SERVICE.status.CODE`` | counter | answers by status |
+| ``attempt.SERVICE.KIND`` | counter | attempts by ``AnswerKind`` |
+| ``retry.SERVICE``, ``hedge.SERVICE`` | counter | further attempts |
+| ``claim.STATUS`` | counter | claim decisions |
+| ``request.refused.CODE`` | counter | requests refused before routing |
+| ``signal.draining``, ``signal.refused`` | counter | signals of leaving upstreams |
+| ``calls_in_progress`` | gauge | calls |
+| ``metrics.dropped`` | counter | timings left out by the limit per interval |
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import statsd
+
+from banyanshelf_daemon.settings import Address
+
+FLUSH_INTERVAL_S = 1.0
+# About 60 KB in 45 datagrams per interval.
+MAX_TIMINGS_PER_INTERVAL = 2000
+# Fits one Ethernet frame.
+MAX_DATAGRAM_BYTES = 1432
+
+
+class Metrics:
+    """Collects measurements and sends them once a second.
+
+    Counting needs no system call. Without a collector everything is dropped.
+    """
+
+    def __init__(
+        self, reactor: Any, address: Address | None = None, member_id: str = ""
+    ) -> None:
+        self._reactor = reactor
+        self._client: Any = None
+        if address is not None:
+            self._client = statsd.StatsClient(
+                address.host,
+                address.port,
+                prefix=f"banyanshelf.{metric_name(member_id)}",
+                maxudpsize=MAX_DATAGRAM_BYTES,
+                ipv6=":" in address.host,
+            )
+        self._counts: defaultdict[str, int] = defaultdict(int)
+        self._timings: list[tuple[str, float]] = []
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._flush_call: Any = None
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is None:
+            return
+        self._counts[name] += amount
+        if self._flush_call is None:
+            self._schedule()
+
+    def timing(self, name: str, milliseconds: float) -> None:
+        """Add a timing."""
+        if self._client is None:
+            return
+        if len(self._timings) < MAX_TIMINGS_PER_INTERVAL:
+            self._timings.append((name, milliseconds))
+        else:
+            self._counts["metrics.dropped"] += 1
+        if self._flush_call is None:
+            self._schedule()
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value with each flush that sends anything."""
+        self._gauges[name] = read
+
+    def flush(self) -> None:
+        """Send what has been collected; failures of the collector are ignored."""
+        self._flush_call = None
+        if self._client is None:
+            return
+        pipeline = self._client.pipeline()
+        for name, amount in self._counts.items():
+            pipeline.incr(name, amount)
+        for name, milliseconds in self._timings:
+            pipeline.timing(name, milliseconds)
+        for name, read in self._gauges.items():
+            pipeline.gauge(name, read())
+        self._counts.clear()
+        self._timings.clear()
+        pipeline.send()
+
+    def stop(self) -> None:
+        """Send the rest and close the socket."""
+        if self._flush_call is not None:
+            self._flush_call.cancel()
+        self.flush()
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+    def _schedule(self) -> None:
+        self._flush_call = self._reactor.callLater(FLUSH_INTERVAL_S, self.flush)
+
+
+def metric_name(name: str) -> str:
+    """Return a name without the characters that separate names in statsd."""
+    return "".join(
+        letter if letter.isalnum() or letter in "-_" else "_" for letter in name
+    )
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
@@ -0,0 +1,213 @@
+"""Reads requests from a byte stream and refuses what two servers may read in two ways.
+
+The codec is strict: obsolete line folding, a Content-Length together with
+Transfer-Encoding, repeated or malformed lengths and malformed chunks are refused by
+``httptools``; the rest of the rules is here.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from typing import NoReturn
+from urllib.parse import urlsplit
+
+import httptools
+
+from banyanshelf_core.errors import RequestError
+from banyanshelf_daemon.http_message import Header, Request
+
+MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADERS = 100
+
+_TARGET = re.compile(rb"/[\x21\x24-\x7e]*")
+# RFC 3986 host with an optional port; user information is not allowed.
+_HOST = re.compile(rb"(?:[A-Za-z0-9._~%-]+|\[[0-9A-Fa-f:.]+\])(?::[0-9]{1,5})?")
+_SINGLE_VALUED = frozenset(
+    {b"host", b"content-length", b"transfer-encoding", b"content-type"}
+)
+
+
+class RequestReader:
+    """Turns bytes into requests, in order.
+
+    ``received`` holds whole requests that wait for their turn. ``error`` is set once
+    the stream cannot be read further; it comes after the requests in ``received``.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.received: deque[Request] = deque()
+        self.error: RequestError | None = None
+        self._target: bytes
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._in_head = False
+        self._in_body = False
+        self._unparsed_head_bytes = 0
+        self.wants_continue = False
+        self._reset()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request has been received in part."""
+        return not (self._in_head or self._in_body)
+
+    @property
+    def in_head(self) -> bool:
+        """Whether the head of a request has been received in part."""
+        return self._in_head
+
+    def feed(self, data: bytes) -> None:
+        """Parse more bytes; results are in ``received`` and ``error``."""
+        if self.error is not None:
+            return
+        was_in_head = self._in_head
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "protocol upgrades are not supported")
+        except httptools.HttpParserError as error:
+            if self.error is None:
+                self._refuse(400, f"malformed request: {error}")
+        if was_in_head and self._in_head:
+            self._unparsed_head_bytes += len(data)
+            if self._unparsed_head_bytes > MAX_HEAD_BYTES:
+                self._refuse(431, f"the head exceeds {MAX_HEAD_BYTES} bytes")
+
+    def on_message_begin(self) -> None:
+        """Start a request (called by the codec)."""
+        self._reset()
+        self._in_head = True
+
+    def on_url(self, part: bytes) -> None:
+        """Add a part of the target (called by the codec)."""
+        self._target += part
+        self._count_head_bytes(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header or drop a trailer (called by the codec)."""
+        self._count_head_bytes(len(name) + len(value) + 4)
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            self._stop(431, f"more than {MAX_HEADERS} headers")
+        if not self._in_head:
+            return
+        lower = name.lower()
+        self._headers.append((lower, name, value))
+        known = self._value_by_name.get(lower)
+        if known is None:
+            self._value_by_name[lower] = value
+        elif lower in _SINGLE_VALUED:
+            self._stop(400, f"repeated header {name.decode('latin-1')}")
+        else:
+            self._value_by_name[lower] = known + b", " + value
+
+    def on_headers_complete(self) -> None:
+        """Check the head before any byte of the body (called by the codec)."""
+        self._in_head = False
+        self._unparsed_head_bytes = 0
+        self._in_body = True
+        version = self._parser.get_http_version()
+        if version not in ("1.1", "1.0"):
+            self._stop(400, f"HTTP version {version} is not supported")
+        self._is_http_1_0 = version == "1.0"
+        self._check_framing()
+        self._check_target()
+        expect = self._value_by_name.get(b"expect")
+        if expect is not None and not self._is_http_1_0:
+            if expect.lower() != b"100-continue":
+                self._stop(400, "unknown expectation; send only 100-continue")
+            self.wants_continue = True
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body (called by the codec)."""
+        self._body_bytes += len(data)
+        self.wants_continue = False
+        if self._body_bytes > self._max_body_bytes:
+            self._stop(413, f"the body exceeds {self._max_body_bytes} bytes")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Queue the request (called by the codec)."""
+        self._in_body = False
+        self.wants_continue = False
+        if self.error is not None:
+            return
+        if self._parser.should_upgrade():
+            self._stop(400, "protocol upgrades are not supported")
+        method = self._parser.get_method().decode("ascii")
+        target = self._target
+        self.received.append(
+            Request(
+                method,
+                target,
+                target.partition(b"?")[0].decode("ascii"),
+                self._value_by_name.get(b"host", b"").decode("ascii"),
+                self._headers,
+                self._value_by_name,
+                b"".join(self._body),
+                self._parser.should_keep_alive() and not self._is_http_1_0,
+                self._is_http_1_0,
+            )
+        )
+
+    def _check_framing(self) -> None:
+        coding = self._value_by_name.get(b"transfer-encoding")
+        if coding is not None and (coding.lower() != b"chunked" or self._is_http_1_0):
+            self._stop(400, "unsupported Transfer-Encoding; send chunked or a length")
+        length = self._value_by_name.get(b"content-length")
+        if length is None:
+            return
+        if not length.isdigit() or coding is not None:
+            self._stop(400, "bad Content-Length")
+        if int(length) > self._max_body_bytes:
+            self._stop(413, f"the body exceeds {self._max_body_bytes} bytes")
+
+    def _check_target(self) -> None:
+        host = self._value_by_name.get(b"host")
+        if host is None:
+            if not self._is_http_1_0:
+                self._stop(400, "missing Host")
+        elif _HOST.fullmatch(host) is None:
+            self._stop(400, "malformed Host")
+        if not self._target.startswith(b"/"):
+            self._target = self._origin_form(host)
+        if _TARGET.fullmatch(self._target) is None:
+            self._stop(400, "malformed request target")
+
+    def _origin_form(self, host: bytes | None) -> bytes:
+        try:
+            parts = urlsplit(self._target)
+        except ValueError:
+            self._stop(400, "malformed request target")
+        if parts.scheme.lower() != b"http" or parts.netloc != host:
+            self._stop(400, "the request target contradicts Host")
+        query = b"?" + parts.query if parts.query else b""
+        if parts.fragment:
+            self._stop(400, "malformed request target")
+        return (parts.path or b"/") + query
+
+    def _count_head_bytes(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._stop(431, f"the head exceeds {MAX_HEAD_BYTES} bytes")
+
+    def _refuse(self, status: int, detail: str) -> None:
+        if self.error is None:
+            self.error = RequestError(status, detail)
+        self._in_head = self._in_body = self.wants_continue = False
+
+    def _stop(self, status: int, detail: str) -> NoReturn:
+        """Refuse the request and leave the codec."""
+        self._refuse(status, detail)
+        raise RequestError(status, detail)
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[Header] = []
+        self._value_by_name: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._header_count = 0
+        self._is_http_1_0 = False
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -0,0 +1,219 @@
+"""One HTTP/1.1 connection to an upstream."""
+
+from __future__ import annotations
+
+from typing import Protocol as Contract
+
+import httptools
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from banyanshelf_core.errors import UpstreamCutError, UpstreamError
+from banyanshelf_daemon.http_message import AnswerHead, Header
+
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
+
+
+class AnswerReceiver(Contract):
+    """Takes one answer; nothing follows ``answer_complete`` or ``answer_failed``."""
+
+    def answer_begun(self, head: AnswerHead) -> None:
+        """Take status and headers."""
+
+    def answer_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def answer_complete(self) -> None:
+        """Note that the answer is whole."""
+
+    def answer_failed(self, error: UpstreamError) -> None:
+        """Note that the rest of the answer will not come."""
+
+
+class ConnectionOwner(Contract):
+    """The pool that a connection belongs to."""
+
+    def connection_free(self, connection: UpstreamConnection) -> None:
+        """Take back a connection that can carry another request."""
+
+    def connection_lost(self, connection: UpstreamConnection, *, cut: bool) -> None:
+        """Forget a connection; ``cut`` if the other side closed it during a call."""
+
+
+class UpstreamConnection(Protocol):
+    """Sends one request at a time and delivers its answer.
+
+    An answer counts as whole only when its announced length or its last chunk has
+    arrived; an answer without either cannot be told from a cut one and is refused.
+    """
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
+        self._receiver: AnswerReceiver | None = None
+        self._is_lost = False
+        self._is_closing = False
+        self._is_paused = False
+        self.answers = 0
+        self.idle_since = 0.0
+
+    def send(self, data: bytes, receiver: AnswerReceiver, *, is_head: bool) -> None:
+        """Send a serialized request; ``is_head`` expects an answer without a body."""
+        self._receiver = receiver
+        self._is_head = is_head
+        # A parser of its own for each answer carries no state into the next one.
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._head: AnswerHead | None = None
+        self._head_bytes = 0
+        self._body_parts: list[bytes] = []
+        self._error = ""
+        self._is_complete = False
+        self._has_surplus = False
+        self._is_interim = False
+        self._received_bytes = 0
+        self.transport.write(data)
+
+    def cancel(self) -> None:
+        """Give up the current answer; the connection is closed and never reused."""
+        self._receiver = None
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._is_closing = True
+        self.transport.abortConnection()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request can be sent."""
+        return self._receiver is None and not (self._is_lost or self._is_closing)
+
+    def pause(self) -> None:
+        """Stop reading while the caller is slow."""
+        if not (self._is_lost or self._is_paused):
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._is_paused and not self._is_lost:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse a part of the answer."""
+        receiver = self._receiver
+        if receiver is None:
+            # Nothing was asked, so these bytes can belong to no caller.
+            self.close()
+            return
+        self._received_bytes += len(data)
+        had_head = self._head is not None
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._is_complete:
+                self._has_surplus = True
+            else:
+                self._error = self._error or f"malformed answer: {error}"
+        if self._head is None:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+                self._error = "the answer's head is too long"
+        if self._error:
+            self._fail(self._error)
+            return
+        if self._head is not None and not had_head:
+            receiver.answer_begun(self._head)
+        if self._body_parts and self._receiver is receiver:
+            parts, self._body_parts = self._body_parts, []
+            receiver.answer_data(parts[0] if len(parts) == 1 else b"".join(parts))
+        if self._is_complete and self._receiver is receiver:
+            self._finish(receiver, data)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Report a cut answer."""
+        self._is_lost = True
+        receiver, self._receiver = self._receiver, None
+        self._owner.connection_lost(
+            self, cut=receiver is not None and not self._is_closing
+        )
+        if receiver is None:
+            return
+        if self.answers and not self._received_bytes:
+            detail = "the upstream closed a kept connection before it answered"
+        else:
+            detail = f"the upstream cut its answer after {self._received_bytes} bytes"
+        receiver.answer_failed(UpstreamCutError(detail))
+
+    def on_message_begin(self) -> None:
+        """Note bytes after the answer (called by the codec)."""
+        if self._is_complete:
+            self._has_surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header or drop a trailer (called by the codec)."""
+        if self._head is None:
+            self._headers.append((name.lower(), name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check how the body is delimited (called by the codec)."""
+        if self._is_complete:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            if status == 101:
+                raise ValueError("the upstream switched protocols")
+            self._is_interim = True
+            self._headers = []
+            return
+        length: int | None = None
+        is_chunked = False
+        for lower, _, value in self._headers:
+            if lower == b"content-length":
+                length = int(value)
+            elif lower == b"transfer-encoding":
+                if value.lower() != b"chunked":
+                    raise ValueError("the answer has an unknown transfer coding")
+                is_chunked = True
+        if self._is_head or status in (204, 304):
+            self._head = AnswerHead(status, self._headers, -1)
+            self._is_complete = self._is_head
+            return
+        if length is None and not is_chunked:
+            raise ValueError("the answer has neither a length nor chunks")
+        self._head = AnswerHead(status, self._headers, length)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body (called by the codec)."""
+        if self._is_complete:
+            self._has_surplus = True
+            return
+        self._body_parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer (called by the codec)."""
+        if self._is_interim:
+            self._is_interim = False
+            return
+        self._is_complete = True
+
+    def _finish(self, receiver: AnswerReceiver, data: bytes) -> None:
+        self._receiver = None
+        self.answers += 1
+        reusable = self._parser.should_keep_alive() and not self._has_surplus
+        if self._is_head and not data.endswith(b"\r\n\r\n"):
+            # The codec does not know that a body may not follow.
+            reusable = False
+        if reusable and not self._is_lost:
+            self.resume()
+            self._owner.connection_free(self)
+        else:
+            self.close()
+        receiver.answer_complete()
+
+    def _fail(self, detail: str) -> None:
+        receiver, self._receiver = self._receiver, None
+        self.close()
+        if receiver is not None:
+            receiver.answer_failed(UpstreamCutError(detail))
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_pool.py
@@ -0,0 +1,152 @@
+"""Bounded pools of kept connections, one per upstream."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError as RefusedError
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from banyanshelf_core.errors import UpstreamRefusedError
+from banyanshelf_core.model import Upstream, UpstreamId
+from banyanshelf_daemon.settings import Address
+from banyanshelf_daemon.upstream_client import UpstreamConnection
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 60.0
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, pool: UpstreamPool) -> None:
+        self._pool = pool
+
+    def buildProtocol(self, _address: Any) -> UpstreamConnection:  # noqa: N802
+        connection = UpstreamConnection(self._pool)
+        connection.connectionMade = lambda: self._pool.connection_made(connection)
+        return connection
+
+    def clientConnectionFailed(  # noqa: N802
+        self, _connector: Any, reason: Failure
+    ) -> None:
+        self._pool.connect_failed(reason)
+
+
+class UpstreamPool:
+    """Connections to one upstream.
+
+    Connections in use and being opened count towards the limit. One connection is
+    opened ahead of demand, so that a call rarely waits for the handshake.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        upstream: Upstream,
+        limit: Callable[[], int],
+        on_trouble: Callable[[UpstreamId, str], None],
+    ) -> None:
+        self.upstream = upstream
+        self._reactor = reactor
+        self._address = Address.from_string(upstream.address)
+        self._limit = limit
+        self._on_trouble = on_trouble
+        self._idle: list[UpstreamConnection] = []
+        self._waiting: deque[Deferred[UpstreamConnection]] = deque()
+        self._opening = 0
+        self._open = 0
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return self._open + self._opening
+
+    def take(self) -> UpstreamConnection | None:
+        """Return an idle connection, if any, and open the next one ahead of demand."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                if not self._idle:
+                    self._open_spare()
+                return connection
+        return None
+
+    def wait(self) -> Deferred[UpstreamConnection]:
+        """Wait for a connection; fails with :class:`UpstreamRefusedError`.
+
+        Nothing has been sent then. Cancelling the Deferred gives up the place.
+        """
+        waiter: Deferred[UpstreamConnection] = Deferred(self._waiting.remove)
+        self._waiting.append(waiter)
+        if self._opening < len(self._waiting) and self.size < self._limit():
+            self._connect()
+        return waiter
+
+    def connection_made(self, connection: UpstreamConnection) -> None:
+        """Use a connection that has just been opened."""
+        connection.transport.setTcpNoDelay(True)
+        self._opening -= 1
+        self._open += 1
+        self.connection_free(connection)
+        if not self._idle:
+            self._open_spare()
+
+    def connect_failed(self, reason: Failure) -> None:
+        """Fail the call that waits longest, as no byte of it has been sent."""
+        self._opening -= 1
+        kind = "refused" if reason.check(RefusedError) else "unreachable"
+        self._on_trouble(self.upstream.id, kind)
+        while self._waiting and self._opening < len(self._waiting):
+            self._waiting.popleft().errback(
+                UpstreamRefusedError(f"connection to {self.upstream.address} {kind}")
+            )
+            if self._open:
+                break
+
+    def connection_free(self, connection: UpstreamConnection) -> None:
+        """Hand a usable connection to a waiting call or keep it."""
+        if self._waiting:
+            self._waiting.popleft().callback(connection)
+            return
+        if self.size > self._limit():
+            connection.close()
+            return
+        connection.idle_since = self._reactor.seconds()
+        self._idle.append(connection)
+
+    def connection_lost(self, connection: UpstreamConnection, *, cut: bool) -> None:
+        """Forget a closed connection."""
+        self._open -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if cut:
+            self._on_trouble(self.upstream.id, "cut")
+        if self._opening < len(self._waiting) and self.size < self._limit():
+            self._connect()
+
+    def close_idle(self, now: float | None = None) -> None:
+        """Close connections that have been idle too long, or all if ``now`` is None."""
+        for connection in list(self._idle):
+            if now is None or (
+                now - connection.idle_since > IDLE_TIMEOUT_S and len(self._idle) > 1
+            ):
+                self._idle.remove(connection)
+                connection.close()
+
+    def _open_spare(self) -> None:
+        if not self._opening and self.size < self._limit():
+            self._connect()
+
+    def _connect(self) -> None:
+        self._opening += 1
+        self._reactor.connectTCP(
+            self._address.host,
+            self._address.port,
+            _Connector(self),
+            timeout=CONNECT_TIMEOUT_S,
+        )
