Claim keyed calls, guard against crashing requests, retry and hedge

Change: a keyed non-idempotent call is claimed before it is sent and its outcome is recorded before it is answered. Retries, hedged attempts and crash marks follow the operators' text. Drain, refusal and load signals of an upstream reach the directory and the permit service. UpstreamAnswerError is new: a malformed answer is no crash.

The new rules have no scenarios yet.

--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
@@ -0,0 +1,166 @@
+"""Recognizes requests that crash the upstreams which run them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+from banyanshelf_core.messages import CrashClear, CrashMark
+from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
+from banyanshelf_core.text import Protection
+
+INCIDENT_WINDOW_S = 0.5
+# Bounds on memory; the oldest entry is dropped first.
+MAX_INCIDENTS = 1024
+MAX_FINGERPRINTS_PER_INCIDENT = 64
+MAX_MARKED_FINGERPRINTS = 4096
+MAX_MARKS_PER_FINGERPRINT = 16
+
+
+def request_fingerprint(
+    service_name: str, method: str, target: bytes, content_type: bytes, body: bytes
+) -> str:
+    """Return a digest that is equal for equal requests, whoever sends them."""
+    content = sha256()
+    for part in (service_name.encode(), method.encode(), target, content_type, body):
+        # The length keeps parts apart, so that no two requests share their bytes.
+        content.update(b"%d:" % len(part))
+        content.update(part)
+    return content.hexdigest()
+
+
+@dataclass(slots=True)
+class _Incident:
+    started: float
+    crash_id: str
+    cut_connections: int = 0
+    fingerprints: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Marks:
+    crash_ids: set[str]
+    expires: float
+
+
+class CrashGuard:
+    """Counts crashes by request fingerprint and refuses repeated offenders.
+
+    A request is marked when its connection is cut before the answer and the upstream
+    refuses or cuts another connection within 500 ms. All cuts in that time belong to
+    one crash, which marks a request once. Marks are shared with all members.
+
+    Example:
+        ``guard.connection_cut("desk-1", now, protection, fingerprint)`` for the call,
+        then ``guard.connection_cut("desk-1", now, protection)`` for another connection
+        returns ``[Broadcast(CrashMark(fingerprint, crash_id))]``.
+
+    """
+
+    def __init__(self, member_id: MemberId, start_id: str) -> None:
+        """Create a guard; ``start_id`` differs for each start of the member."""
+        self._crash_id_prefix = f"{member_id}/{start_id}"
+        self._crashes = 0
+        self._incidents: OrderedDict[UpstreamId, _Incident] = OrderedDict()
+        self._marks: OrderedDict[str, _Marks] = OrderedDict()
+        self._suspects: set[str] = set()
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether any request is marked or suspected.
+
+        Otherwise fingerprints are not worth computing.
+        """
+        return bool(self._marks or self._suspects)
+
+    def connection_cut(
+        self,
+        upstream_id: UpstreamId,
+        now: float,
+        protection: Protection,
+        fingerprint: str | None = None,
+    ) -> list[Broadcast]:
+        """Note a connection that the upstream refused or cut.
+
+        ``fingerprint`` is that of the request whose answer was not whole, if any.
+        """
+        incident = self._incidents.get(upstream_id)
+        if incident is None or now - incident.started > INCIDENT_WINDOW_S:
+            incident = self._begin_incident(upstream_id, now)
+        incident.cut_connections += 1
+        if fingerprint is not None and (
+            len(incident.fingerprints) < MAX_FINGERPRINTS_PER_INCIDENT
+        ):
+            incident.fingerprints.add(fingerprint)
+            self._suspects.add(fingerprint)
+        if incident.cut_connections < 2:
+            return []
+        marks = [
+            CrashMark(marked, incident.crash_id)
+            for marked in sorted(incident.fingerprints)
+            if self._add_mark(marked, incident.crash_id, now, protection)
+        ]
+        return [Broadcast(mark) for mark in marks]
+
+    def answered(self, fingerprint: str) -> list[Broadcast]:
+        """Void the marks of a request that has been answered whole."""
+        if fingerprint in self._suspects:
+            self._suspects.discard(fingerprint)
+            for incident in self._incidents.values():
+                incident.fingerprints.discard(fingerprint)
+        if self._marks.pop(fingerprint, None) is None:
+            return []
+        return [Broadcast(CrashClear(fingerprint))]
+
+    def receive_mark(self, mark: CrashMark, now: float, protection: Protection) -> None:
+        """Add a mark of another member."""
+        self._add_mark(mark.fingerprint, mark.crash_id, now, protection)
+
+    def receive_clear(self, clear: CrashClear) -> None:
+        """Void marks on behalf of another member."""
+        self._marks.pop(clear.fingerprint, None)
+
+    def refused_for_s(
+        self, fingerprint: str, now: float, protection: Protection
+    ) -> float | None:
+        """Return for how long a request stays refused, or None if it may run."""
+        marks = self._marks.get(fingerprint)
+        if marks is None:
+            return None
+        if now >= marks.expires:
+            del self._marks[fingerprint]
+            return None
+        if len(marks.crash_ids) < protection.crash_limit:
+            return None
+        return marks.expires - now
+
+    def _begin_incident(self, upstream_id: UpstreamId, now: float) -> _Incident:
+        self._crashes += 1
+        self._forget(self._incidents.pop(upstream_id, None))
+        incident = _Incident(now, f"{self._crash_id_prefix}/{self._crashes}")
+        self._incidents[upstream_id] = incident
+        while len(self._incidents) > MAX_INCIDENTS:
+            self._forget(self._incidents.popitem(last=False)[1])
+        return incident
+
+    def _forget(self, incident: _Incident | None) -> None:
+        if incident is not None:
+            self._suspects -= incident.fingerprints
+
+    def _add_mark(
+        self, fingerprint: str, crash_id: str, now: float, protection: Protection
+    ) -> bool:
+        expires = now + protection.crash_quarantine_s
+        marks = self._marks.get(fingerprint)
+        if marks is None or now >= marks.expires:
+            marks = self._marks[fingerprint] = _Marks(set(), expires)
+            while len(self._marks) > MAX_MARKED_FINGERPRINTS:
+                self._marks.popitem(last=False)
+        if crash_id in marks.crash_ids:
+            return False
+        if len(marks.crash_ids) < MAX_MARKS_PER_FINGERPRINT:
+            marks.crash_ids.add(crash_id)
+        marks.expires = expires
+        self._marks.move_to_end(fingerprint)
+        return True
--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -60,5 +60,9 @@
     """The connection was cut after bytes of the request had left."""
 
 
+class UpstreamAnswerError(UpstreamError):
+    """The upstream sent bytes that are no answer, or one without a certain end."""
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The upstream did not answer within the call's remaining time."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/retry.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/retry.py
@@ -56,6 +56,13 @@
         self._retries += 1
         return True
 
+    def give_back(self, now: float) -> None:
+        """Take back a retry that was counted in this second but not made."""
+        bucket = self._bucket(now)
+        if bucket[2]:
+            bucket[2] -= 1
+            self._retries -= 1
+
     def _bucket(self, now: float) -> list[float]:
         second = now // 1.0
         seconds = self._seconds
@@ -118,3 +125,7 @@
     def may_hedge(self, now: float) -> bool:
         """Charge the budget for a hedged attempt if it covers one."""
         return self._budget.try_retry(now)
+
+    def hedge_not_made(self, now: float) -> None:
+        """Give back the charge for a hedged attempt that found no idle permit."""
+        self._budget.give_back(now)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
@@ -10,7 +10,7 @@
 from banyanshelf_core.errors import UpstreamError, UpstreamRefusedError
 from banyanshelf_core.messages import AnswerSample
 from banyanshelf_core.model import AnswerKind
-from banyanshelf_daemon.http_message import Answer, AnswerHead, value_of
+from banyanshelf_daemon.http_message import Answer, AnswerHead, says_not_run
 from banyanshelf_daemon.interfaces import Permit, PermitService
 from banyanshelf_daemon.upstream_client import UpstreamConnection
 from banyanshelf_daemon.upstream_pool import UpstreamPool
@@ -24,6 +24,9 @@
     def now(self) -> float:
         """Return the time in seconds."""
 
+    def attempt_begun(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Take the head of an answer."""
+
     def attempt_answered(self, attempt: Attempt, answer: Answer) -> None:
         """Take a whole answer."""
 
@@ -101,6 +104,7 @@
     def answer_begun(self, head: AnswerHead) -> None:
         """Note status and headers; a long answer is streamed from the start."""
         self._head = head
+        self._owner.attempt_begun(self, head)
         if head.length is not None and head.length > MAX_COLLECTED_BYTES:
             self._stream(head)
 
@@ -119,10 +123,12 @@
         head = self._head
         if self.is_over or head is None:
             return
-        if head.status == 503 and value_of(head.headers, b"upstream-outcome"):
+        if head.status < 500:
+            kind = AnswerKind.ANSWERED
+        elif says_not_run(head):
             kind = AnswerKind.SHED
         else:
-            kind = AnswerKind.ERROR if head.status >= 500 else AnswerKind.ANSWERED
+            kind = AnswerKind.ERROR
         self._release(kind)
         if self.is_streaming:
             self._owner.stream_ended()
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -0,0 +1,148 @@
+"""The state of a call and what can be derived from it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from banyanshelf_core.crash_guard import request_fingerprint
+from banyanshelf_core.matching import RouteDecision
+from banyanshelf_core.messages import AnswerSample
+from banyanshelf_core.model import AnswerKind, UpstreamId
+from banyanshelf_daemon.attempt import Attempt
+from banyanshelf_daemon.call_services import CallContext, CallServices
+from banyanshelf_daemon.caller_server import Exchange
+from banyanshelf_daemon.http_message import (
+    Answer,
+    AnswerHead,
+    Header,
+    Request,
+    forwarded_headers,
+    forwarded_request,
+)
+from banyanshelf_daemon.interfaces import ActiveText, Permit, PermitRequest
+
+# Each layer leaves itself time to answer after the next one has given up.
+DEADLINE_MARGIN_S = 0.001
+
+
+class CallState:
+    """One call under one version of the text, from start to end.
+
+    ``_may_have_run`` is true from the moment a byte of the request may have reached an
+    application that has not denied running it.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        request: Request,
+        exchange: Exchange,
+        route: RouteDecision,
+        active: ActiveText,
+        context: CallContext,
+        request_id: str,
+    ) -> None:
+        self.services = services
+        self.request = request
+        self.exchange = exchange
+        self.route = route
+        self.active = active
+        self.request_id = request_id
+        self.is_over = False
+        self.started = services.now()
+        timeout_s = route.timeout_s
+        if context.deadline_s is not None and context.deadline_s < timeout_s:
+            timeout_s = context.deadline_s
+        self.deadline = self.started + timeout_s
+        self._context = context
+        self._state = services.state_for(route.service_name, route.service)
+        self._may_have_run = False
+        self._used: frozenset[UpstreamId] = frozenset()
+        self._attempts: list[Attempt] = []
+        self._attempt_count = 0
+        self._pending: Deferred[Permit] | None = None
+        self._pending_hedge: Deferred[Permit] | None = None
+        self._fallback: Answer | None = None
+        self._stream_head: AnswerHead | None = None
+        self._fingerprint: str | None = None
+        self._hedge_at: float | None = None
+        self._timer: Any = None
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.services.now()
+
+    def acquire_permit(self, *, only_idle: bool) -> Deferred[Permit]:
+        """Ask for a permit at an upstream that this call has not used."""
+        return self.services.permits.acquire(
+            self.route.service_name,
+            PermitRequest(
+                self.request_id,
+                self._context.caller_service,
+                self._context.depth,
+                self.deadline,
+                self.route.idempotent,
+                self._used,
+                only_idle,
+            ),
+        )
+
+    def serialized_request(self) -> bytes:
+        """Return the request as it is sent to an upstream."""
+        remaining_s = self.deadline - self.now() - DEADLINE_MARGIN_S
+        internal = (
+            b"Via: 1.1 banyanshelf\r\nBanyanshelf-Request-Id: %b\r\n"
+            b"Banyanshelf-Deadline-Ms: %d\r\nBanyanshelf-Depth: %d\r\n"
+            b"Banyanshelf-Caller-Service: %b\r\n"
+            % (
+                self.request_id.encode(),
+                max(0, int(remaining_s * 1000)),
+                self._context.depth + 1,
+                self._state.name_bytes,
+            )
+        )
+        return forwarded_request(self.request, internal)
+
+    def fingerprint(self) -> str:
+        """Return the digest by which the crash guard knows the request."""
+        if self._fingerprint is None:
+            request = self.request
+            self._fingerprint = request_fingerprint(
+                self.route.service_name,
+                request.method,
+                request.target,
+                request.value_by_name.get(b"content-type", b""),
+                request.body,
+            )
+        return self._fingerprint
+
+    def caller_headers(self, headers: list[Header]) -> list[Header]:
+        """Return the headers of an upstream's answer for the caller."""
+        kept = forwarded_headers(headers)
+        kept.append(
+            (
+                b"banyanshelf-request-id",
+                b"Banyanshelf-Request-Id",
+                self.request_id.encode(),
+            )
+        )
+        return kept
+
+    def measure(self, status: int, service_time_s: float) -> None:
+        """Report how the call ended; ``service_time_s`` of 0 means no answer."""
+        metrics = self.services.metrics
+        if not metrics.is_enabled:
+            return
+        total_s = self.now() - self.started
+        metrics.timing(self._state.time_metric, total_s * 1000)
+        if service_time_s:
+            metrics.timing(self._state.added_metric, (total_s - service_time_s) * 1000)
+        metrics.count(f"{self._state.status_metric}{status}")
+
+    def give_back(self, permit: Permit) -> None:
+        """Return a permit that has not been used."""
+        self.services.permits.release(
+            permit, AnswerSample(permit.upstream.id, 0, AnswerKind.CANCELLED)
+        )
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -36,8 +36,8 @@
 class RunningCall(Contract):
     """A call in progress."""
 
-    def caller_gone(self) -> None:
-        """Note that nobody waits for the answer any more."""
+    def caller_gone(self) -> bool:
+        """Note that nobody waits for the answer; tells whether the call goes on."""
 
 
 class Handler(Contract):
@@ -63,6 +63,8 @@
         self._connection: CallerConnection | None = connection
         self._request = request
         self._is_chunked = False
+        self._factory = connection.factory
+        self._goes_on = False
         self.call: RunningCall | None = None
         self.producer: Producer | None = None
 
@@ -127,8 +129,16 @@
     def disconnected(self) -> None:
         """Note that the caller's connection is closed."""
         self._connection = None
-        if self.call is not None:
-            self.call.caller_gone()
+        self.producer = None
+        self._goes_on = self.call is not None and self.call.caller_gone()
+        if not self._goes_on:
+            self._factory.call_over()
+
+    def call_ended(self) -> None:
+        """Note the end of a call that went on without its caller."""
+        if self._goes_on:
+            self._goes_on = False
+            self._factory.call_over()
 
     def _must_close(self, connection: CallerConnection) -> bool:
         return not self._request.keep_alive or connection.factory.is_stopping
@@ -189,7 +199,6 @@
         self.factory.remove(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
-            self.factory.call_over()
             exchange.disconnected()
 
     def pauseProducing(self) -> None:  # noqa: N802
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
@@ -0,0 +1,234 @@
+"""A non-idempotent call with a key, which is claimed before it is sent."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from typing import Any
+
+from banyanshelf_core.errors import UpstreamError
+from banyanshelf_core.messages import ClaimOutcome, ClaimStatus, StoredAnswer
+from banyanshelf_core.model import AnswerKind, Outcome
+from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
+from banyanshelf_daemon.http_message import Answer, header
+from banyanshelf_daemon.interfaces import ClaimDecision
+from banyanshelf_daemon.problem import problem_answer
+from banyanshelf_daemon.running_call import RunningCall
+
+RETRY_AFTER_S = 1.0
+
+
+class ClaimedCall(RunningCall):
+    """Sends a call once per key and records how it ended before answering.
+
+    The record may take until the call's deadline; then the caller is answered anyway,
+    since the claim service goes on recording.
+    """
+
+    _attempt_id = ""
+    _caller_is_gone = False
+    _is_recorded = False
+    _held_part = b""
+
+    def run(self) -> None:
+        """Claim the key, then continue like any other call."""
+        services = self.services
+        services.metrics.count(self._state.count_metric)
+        self._state.policy.note_call(self.started)
+        if self.deadline - self.started <= DEADLINE_MARGIN_S:
+            self.expire()
+            return
+        self.arm_timer()
+        claim = services.claims.claim(
+            self.route.service_name,
+            self._key_digest(),
+            _digest(
+                self.request.method.encode(), self.request.target, self.request.body
+            ),
+            self.deadline - self.started,
+        )
+        claim.addCallback(self._claimed)
+        claim.addErrback(self.internal_error)
+
+    def caller_gone(self) -> bool:
+        """Let a call that may have run go on, so that its outcome is recorded."""
+        self._caller_is_gone = True
+        if self.is_over or self._is_sent():
+            return not self._is_recorded
+        self._end(AnswerKind.CANCELLED)
+        if self._attempt_id:
+            self._record(ClaimOutcome.RELEASED, None)
+        return False
+
+    def conclude(self, answer: Answer, outcome: ClaimOutcome) -> None:
+        """Record the outcome, then answer."""
+        if not self._attempt_id:
+            super().conclude(answer, outcome)
+            return
+        stored = None
+        if outcome is ClaimOutcome.COMPLETED:
+            stored = self._stored(answer.status, answer)
+        self._record_then(outcome, stored, lambda: self.exchange.answer(answer))
+
+    def stream_data(self, data: bytes) -> None:
+        """Pass on all but the last part, which follows the record."""
+        held, self._held_part = self._held_part, data
+        super().stream_data(held)
+
+    def stream_ended(self) -> None:
+        """Record a long answer without its body, then send its end."""
+        self._end(AnswerKind.CANCELLED)
+        head = self._stream_head
+        if head is None:
+            return
+        self.measure(head.status, 0.0)
+        self._record_then(
+            ClaimOutcome.COMPLETED, self._stored(head.status, None), self._send_end
+        )
+
+    def stream_cut(self, error: UpstreamError) -> None:
+        """Cut off the caller and record that the outcome is unknown."""
+        self._record(ClaimOutcome.UNKNOWN, None)
+        self._is_recorded = True
+        super().stream_cut(error)
+
+    def _claimed(self, decision: ClaimDecision) -> None:
+        self.services.metrics.count(f"claim.{decision.status}")
+        self.services.log.event(
+            "claim",
+            request_id=self.request_id,
+            service=self.route.service_name,
+            key=self._key_digest()[:16],
+            status=decision.status,
+        )
+        granted = decision.status == ClaimStatus.GRANTED
+        if granted:
+            self._attempt_id = decision.attempt_id
+        if self.is_over:
+            # The caller has been told that the request was not run.
+            if granted:
+                self._record(ClaimOutcome.RELEASED, None)
+            return
+        if granted:
+            self.admit()
+            return
+        self._end(AnswerKind.CANCELLED)
+        self._is_recorded = True
+        answer = self._answer_for(decision)
+        self.measure(answer.status, 0.0)
+        super().conclude(answer, ClaimOutcome.RELEASED)
+
+    def _answer_for(self, decision: ClaimDecision) -> Answer:
+        stored = decision.answer
+        match decision.status:
+            case ClaimStatus.COMPLETED if stored is not None and stored.body_kept:
+                headers = [header(*line.split(": ", 1)) for line in stored.headers]
+                headers.append(header("Idempotency-Replayed", "true"))
+                headers.append(header("Banyanshelf-Request-Id", self.request_id))
+                return Answer(stored.status, headers, stored.body)
+            case ClaimStatus.COMPLETED:
+                return self._problem(
+                    409, "the call ran and its answer is no longer kept", None
+                )
+            case ClaimStatus.RUNNING:
+                return self._problem(
+                    409,
+                    "a call with this key is still running",
+                    Outcome.UNKNOWN,
+                    RETRY_AFTER_S,
+                )
+            case ClaimStatus.CONFLICT:
+                return self._problem(
+                    422,
+                    "this key was used for a different request; use a new key",
+                    Outcome.NOT_RUN,
+                )
+            case ClaimStatus.UNKNOWN:
+                return self._problem(
+                    502,
+                    "the outcome of the call with this key is unknown",
+                    Outcome.UNKNOWN,
+                )
+            case _:
+                return self._problem(
+                    503,
+                    "keys cannot be claimed at the moment",
+                    Outcome.NOT_RUN,
+                    RETRY_AFTER_S,
+                )
+
+    def _problem(
+        self,
+        status: int,
+        detail: str,
+        outcome: Outcome | None,
+        retry_after_s: float | None = None,
+    ) -> Answer:
+        return problem_answer(
+            status,
+            detail,
+            outcome,
+            "http_request_denied",
+            retry_after_s=retry_after_s,
+            request_id=self.request_id,
+        )
+
+    def _key_digest(self) -> str:
+        return _digest(
+            self.route.service_name.encode(),
+            self.route.credential,
+            self.route.key or b"",
+        )
+
+    def _stored(self, status: int, answer: Answer | None) -> StoredAnswer:
+        if answer is None:
+            return StoredAnswer(status, [], b"", False)
+        is_kept = len(answer.body) <= self.active.text.claims.kept_answer_bytes
+        headers = [
+            f"{name.decode('latin-1')}: {value.decode('latin-1')}"
+            for lower, name, value in answer.headers
+            if lower != b"banyanshelf-request-id"
+        ]
+        return StoredAnswer(status, headers, answer.body if is_kept else b"", is_kept)
+
+    def _record(self, outcome: ClaimOutcome, stored: StoredAnswer | None) -> Any:
+        recorded = self.services.claims.complete(self._attempt_id, outcome, stored)
+        recorded.addErrback(self._record_failed)
+        return recorded
+
+    def _record_failed(self, failure: Any) -> None:
+        self.services.log.warning(
+            "claim_record_failed",
+            request_id=self.request_id,
+            detail=str(failure.value),
+        )
+
+    def _record_then(
+        self, outcome: ClaimOutcome, stored: StoredAnswer | None, answer: Any
+    ) -> None:
+        delay_s = max(0.0, self.deadline - self.now())
+        timer = self.services.reactor.callLater(delay_s, self._answer_once, answer)
+
+        def recorded(_result: Any) -> None:
+            if timer.active():
+                timer.cancel()
+                self._answer_once(answer)
+
+        self._record(outcome, stored).addCallback(recorded)
+
+    def _answer_once(self, answer: Any) -> None:
+        self._is_recorded = True
+        answer()
+        self.exchange.call_ended()
+
+    def _send_end(self) -> None:
+        self.exchange.write(self._held_part)
+        self.exchange.finish()
+
+
+def _digest(*parts: bytes) -> str:
+    content = sha256()
+    for part in parts:
+        # The length keeps parts apart, so that no two claims share their bytes.
+        content.update(b"%d:" % len(part))
+        content.update(part)
+    return content.hexdigest()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -23,9 +23,11 @@
         b"upgrade",
     }
 )
-# The gateway writes these itself.
+# Signals of an upstream to its gateway.
+_UPSTREAM_SIGNALS = {b"upstream-load", b"upstream-state", b"upstream-outcome"}
+# The gateway writes or consumes these itself.
 _REWRITTEN_IN_REQUESTS = HOP_BY_HOP | {b"content-length", b"expect"}
-_REWRITTEN_IN_ANSWERS = HOP_BY_HOP | {b"content-length"}
+_REWRITTEN_IN_ANSWERS = HOP_BY_HOP | _UPSTREAM_SIGNALS | {b"content-length"}
 _INTERNAL_PREFIX = b"banyanshelf-"
 
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
@@ -83,11 +85,21 @@
     return None
 
 
+def says_not_run(answer: Answer | AnswerHead) -> bool:
+    """Whether the upstream states that it did not run the call."""
+    return answer.status == 503 and any(
+        lower == b"upstream-outcome" and value.strip().lower() == b"not_run"
+        for lower, _, value in answer.headers
+    )
+
+
 def connection_options(value: bytes | None) -> frozenset[bytes]:
     """Return the lower-case names listed in a Connection header."""
     if not value:
         return frozenset()
-    return frozenset(name.strip().lower() for name in value.split(b","))
+    # Host belongs to the request, not to the connection; without it, the upstream might
+    # serve another site.
+    return frozenset(name.strip().lower() for name in value.split(b",")) - {b"host"}
 
 
 def forwarded_request(request: Request, internal_headers: bytes) -> bytes:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -13,7 +13,7 @@
 | ``retry.SERVICE``, ``hedge.SERVICE`` | counter | further attempts |
 | ``claim.STATUS`` | counter | claim decisions |
 | ``request.refused.CODE`` | counter | requests refused before routing |
-| ``signal.draining``, ``signal.refused`` | counter | signals of leaving upstreams |
+| ``signal.KIND`` | counter | draining, refused, unreachable, closed, cut upstreams |
 | ``calls_in_progress`` | gauge | calls |
 | ``metrics.dropped`` | counter | timings left out by the limit per interval |
 """
@@ -59,6 +59,11 @@
         self._gauges: dict[str, Callable[[], float]] = {}
         self._flush_call: Any = None
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether there is a collector."""
+        return self._client is not None
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         if self._client is None:
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -0,0 +1,349 @@
+"""A call in progress: admit, send, retry or hedge, answer."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure as DeferredFailure
+
+from banyanshelf_core.errors import UpstreamAnswerError, UpstreamError
+from banyanshelf_core.messages import ClaimOutcome
+from banyanshelf_core.model import AnswerKind, Outcome
+from banyanshelf_core.retry import RETRIED_STATUSES, Failure
+from banyanshelf_daemon.attempt import Attempt
+from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S, CallState
+from banyanshelf_daemon.http_message import Answer, AnswerHead, says_not_run, value_of
+from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.problem import PROXY_NAME, problem_answer
+
+# A deeper gateway gave up and the upstream passed its answer on.
+RELAYED_PROBLEM = f"{PROXY_NAME}; error=".encode()
+
+
+class RunningCall(CallState):
+    """A call that is idempotent or has no idempotency key."""
+
+    def run(self) -> None:
+        """Begin with the first attempt."""
+        self.services.metrics.count(self._state.count_metric)
+        self._state.policy.note_call(self.started)
+        if self.deadline - self.started <= DEADLINE_MARGIN_S:
+            self.expire()
+            return
+        self.admit()
+        self.arm_timer()
+
+    def caller_gone(self) -> bool:
+        """Cancel what may be cancelled; the result tells whether the call goes on.
+
+        A non-idempotent call that has been sent is not interrupted.
+        """
+        if not self.is_over and (self.route.idempotent or not self._is_sent()):
+            self._end(AnswerKind.CANCELLED)
+        return not self.is_over
+
+    def arm_timer(self) -> None:
+        """Wake up for a hedged attempt or at the deadline."""
+        if self.is_over:
+            return
+        at = self.deadline if self._hedge_at is None else self._hedge_at
+        delay_s = max(0.0, min(at, self.deadline) - self.now())
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(delay_s)
+        else:
+            self._timer = self.services.reactor.callLater(delay_s, self._wake)
+
+    def admit(self) -> None:
+        """Ask for a permit for the next attempt."""
+        if self._is_quarantined():
+            return
+        pending = self._pending = self.acquire_permit(only_idle=False)
+        pending.addCallbacks(self._admitted, self._not_admitted)
+        pending.addErrback(self.internal_error)
+
+    # Results of attempts.
+
+    def attempt_begun(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Read the signals in the head of an answer."""
+        self.services.attempt_answered(attempt.permit.upstream.id, head)
+
+    def attempt_answered(self, attempt: Attempt, answer: Answer) -> None:
+        """Take a whole answer: pass it on, or retry if it is an error."""
+        self._attempts.remove(attempt)
+        state = self._state
+        state.policy.note_answer(attempt.service_time_s)
+        services = self.services
+        if services.crash_guard.is_watching:
+            services.broadcast(services.crash_guard.answered(self.fingerprint()))
+        if answer.status < 500:
+            self.finish(answer, attempt)
+            return
+        not_run = says_not_run(answer)
+        self._may_have_run = self._may_have_run or not not_run
+        failure = Failure.NOT_RUN if not_run else Failure.ERROR
+        status = value_of(answer.headers, b"proxy-status")
+        if status is not None and RELAYED_PROBLEM in status:
+            failure = Failure.EXHAUSTED
+        self._fallback = answer
+        is_retried = not_run or answer.status in RETRIED_STATUSES
+        if is_retried and self._retry(failure):
+            return
+        if self._attempts or self._pending_hedge is not None:
+            return
+        self._finish_fallback(answer)
+
+    def attempt_failed(self, attempt: Attempt, error: UpstreamError) -> None:
+        """Retry if that is safe, or answer with a problem."""
+        self._attempts.remove(attempt)
+        self._may_have_run = self._may_have_run or attempt.sent
+        if attempt.sent and not isinstance(error, UpstreamAnswerError):
+            self.services.attempt_cut(attempt.permit.upstream.id, self.fingerprint())
+        if self._retry(Failure.CUT if attempt.sent else Failure.NOT_SENT):
+            return
+        if self._attempts or self._pending_hedge is not None:
+            return
+        if self._fallback is not None:
+            self._finish_fallback(self._fallback)
+            return
+        kind = "connection_terminated" if attempt.sent else "connection_refused"
+        self.finish_problem(502, str(error), kind)
+
+    def stream_begun(self, attempt: Attempt, head: AnswerHead) -> bool:
+        """Pass on a long answer; other attempts are cancelled."""
+        if self.is_over:
+            return False
+        self._attempts.remove(attempt)
+        self._cancel_attempts(AnswerKind.CANCELLED)
+        self._attempts.append(attempt)
+        self._hedge_at = None
+        self._may_have_run = True
+        self._stream_head = head
+        self.exchange.begin(
+            head.status, self.caller_headers(head.headers), head.length, attempt
+        )
+        return True
+
+    def stream_data(self, data: bytes) -> None:
+        """Pass on a part of a long answer."""
+        self.exchange.write(data)
+
+    def stream_ended(self) -> None:
+        """End a long answer."""
+        if self._stream_head is not None:
+            self.measure(self._stream_head.status, 0.0)
+        self._end(AnswerKind.CANCELLED)
+        self.exchange.finish()
+        self.exchange.call_ended()
+
+    def stream_cut(self, error: UpstreamError) -> None:
+        """Cut off the caller, so that a part cannot pass for the whole."""
+        self._end(AnswerKind.CANCELLED)
+        self.services.log.warning(
+            "answer_cut", request_id=self.request_id, detail=str(error)
+        )
+        self.exchange.abort()
+        self.exchange.call_ended()
+
+    # Results of the call.
+
+    def finish(self, answer: Answer, attempt: Attempt | None = None) -> None:
+        """Answer with an upstream's answer."""
+        self._end(AnswerKind.CANCELLED)
+        headers = self.caller_headers(answer.headers)
+        if attempt is not None:
+            self.measure(answer.status, attempt.service_time_s)
+        self.conclude(
+            Answer(answer.status, headers, answer.body), ClaimOutcome.COMPLETED
+        )
+
+    def finish_problem(
+        self,
+        status: int,
+        detail: str,
+        error: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Answer with problem details that say whether the request may have run."""
+        outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+        self._end(AnswerKind.CANCELLED)
+        self.measure(status, 0.0)
+        answer = problem_answer(
+            status,
+            detail,
+            outcome,
+            error,
+            retry_after_s=retry_after_s,
+            request_id=self.request_id,
+        )
+        self.conclude(
+            answer,
+            ClaimOutcome.UNKNOWN if self._may_have_run else ClaimOutcome.RELEASED,
+        )
+
+    def conclude(self, answer: Answer, outcome: ClaimOutcome) -> None:
+        """Send the final answer; a claimed call records its outcome first."""
+        self.exchange.answer(answer)
+        self.exchange.call_ended()
+
+    def internal_error(self, failure: DeferredFailure) -> None:
+        """Answer after a fault of this program instead of waiting for the deadline."""
+        self.services.log.warning(
+            "internal_error",
+            request_id=self.request_id,
+            detail=failure.getTraceback(),
+        )
+        if not self.is_over:
+            self._may_have_run = self._is_sent()
+            self.finish_problem(500, "internal error", "proxy_internal_error")
+
+    # Steps.
+
+    def _admitted(self, permit: Permit) -> None:
+        self._pending = None
+        if self.is_over:
+            self.give_back(permit)
+            return
+        hedge_delay_s = self._state.policy.hedge_delay_s(
+            idempotent=self.route.idempotent
+        )
+        if hedge_delay_s is not None and self._attempt_count == 0:
+            self._hedge_at = self.now() + hedge_delay_s
+            if self._timer is not None:
+                self.arm_timer()
+        self._send(permit, permit.reason)
+
+    def _send(self, permit: Permit, reason: str) -> None:
+        upstream = permit.upstream
+        services = self.services
+        services.log.decision(
+            request_id=self.request_id,
+            service=self.route.service_name,
+            upstream=upstream.id,
+            reason=reason,
+            candidates=permit.candidates,
+            version=self.active.version,
+            epoch=permit.epoch_number,
+        )
+        self._used |= {upstream.id}
+        self._attempt_count += 1
+        attempt = Attempt(self, permit, services.permits, services.pool_for(upstream))
+        self._attempts.append(attempt)
+        attempt.start(self.serialized_request(), is_head=self.request.method == "HEAD")
+
+    def _not_admitted(self, failure: DeferredFailure) -> None:
+        self._pending = None
+        if self.is_over or failure.check(CancelledError):
+            return
+        if self._attempts or self._pending_hedge is not None:
+            return
+        if self._fallback is not None:
+            self._finish_fallback(self._fallback)
+            return
+        retry_after_s = 1.0
+        if isinstance(failure.value, NotAdmittedError):
+            retry_after_s = failure.value.retry_after_s
+        self.finish_problem(
+            503, str(failure.value), "destination_unavailable", retry_after_s
+        )
+
+    def _retry(self, failure: Failure) -> bool:
+        is_allowed = self._state.policy.may_retry(
+            failure,
+            idempotent=self.route.idempotent,
+            attempts=self._attempt_count,
+            now=self.now(),
+        )
+        if not is_allowed or self._pending is not None:
+            return False
+        self.services.metrics.count(self._state.retry_metric)
+        self.admit()
+        return True
+
+    def _wake(self) -> None:
+        self._timer = None
+        if self._hedge_at is not None and self.now() < self.deadline:
+            self._hedge_at = None
+            self._hedge()
+            self.arm_timer()
+            return
+        self.expire()
+
+    def expire(self) -> None:
+        """Give up at the deadline."""
+        self._may_have_run = self._may_have_run or self._is_sent()
+        is_streaming = any(attempt.is_streaming for attempt in self._attempts)
+        self._cancel_attempts(AnswerKind.TIMEOUT)
+        if is_streaming:
+            self.stream_cut(UpstreamError("the deadline passed during a long answer"))
+            return
+        self.finish_problem(
+            504, "no answer within the time limit", "http_response_timeout", 1.0
+        )
+
+    def _hedge(self) -> None:
+        policy = self._state.policy
+        if len(self._attempts) != 1 or not policy.may_hedge(self.now()):
+            return
+        pending = self._pending_hedge = self.acquire_permit(only_idle=True)
+        pending.addCallbacks(self._hedge_admitted, self._no_hedge)
+        pending.addErrback(self.internal_error)
+
+    def _hedge_admitted(self, permit: Permit) -> None:
+        self._pending_hedge = None
+        if self.is_over:
+            self.give_back(permit)
+            return
+        self.services.metrics.count(self._state.hedge_metric)
+        self._send(permit, "hedge")
+
+    def _no_hedge(self, failure: DeferredFailure) -> None:
+        self._pending_hedge = None
+        self._state.policy.hedge_not_made(self.now())
+        if not (self.is_over or self._attempts or self._pending):
+            self._not_admitted(failure)
+
+    def _finish_fallback(self, answer: Answer) -> None:
+        if not says_not_run(answer):
+            self.finish(answer)
+            return
+        value = value_of(answer.headers, b"retry-after")
+        retry_after_s = float(value) if value and value.isdigit() else 1.0
+        self.finish_problem(
+            503,
+            "the upstream did not run the request",
+            "destination_unavailable",
+            retry_after_s,
+        )
+
+    def _is_quarantined(self) -> bool:
+        guard = self.services.crash_guard
+        if not guard.is_watching:
+            return False
+        refused_for_s = guard.refused_for_s(
+            self.fingerprint(), self.now(), self.active.text.protection
+        )
+        if refused_for_s is None:
+            return False
+        self.services.log.event("request_quarantined", request_id=self.request_id)
+        self.finish_problem(
+            503,
+            "this request has crashed the servers that ran it; do not repeat it",
+            "http_request_denied",
+            refused_for_s,
+        )
+        return True
+
+    def _is_sent(self) -> bool:
+        return self._may_have_run or any(attempt.sent for attempt in self._attempts)
+
+    def _cancel_attempts(self, kind: AnswerKind) -> None:
+        for attempt in list(self._attempts):
+            attempt.cancel(kind)
+        for pending in (self._pending, self._pending_hedge):
+            if pending is not None:
+                pending.cancel()
+
+    def _end(self, kind: AnswerKind) -> None:
+        self.is_over = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._cancel_attempts(kind)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -8,7 +8,11 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from banyanshelf_core.errors import UpstreamCutError, UpstreamError
+from banyanshelf_core.errors import (
+    UpstreamAnswerError,
+    UpstreamCutError,
+    UpstreamError,
+)
 from banyanshelf_daemon.http_message import AnswerHead, Header
 
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
@@ -36,8 +40,10 @@
     def connection_free(self, connection: UpstreamConnection) -> None:
         """Take back a connection that can carry another request."""
 
-    def connection_lost(self, connection: UpstreamConnection, *, cut: bool) -> None:
-        """Forget a connection; ``cut`` if the other side closed it during a call."""
+    def connection_lost(
+        self, connection: UpstreamConnection, *, closed_by_upstream: bool
+    ) -> None:
+        """Forget a connection."""
 
 
 class UpstreamConnection(Protocol):
@@ -135,9 +141,7 @@
         """Report a cut answer."""
         self._is_lost = True
         receiver, self._receiver = self._receiver, None
-        self._owner.connection_lost(
-            self, cut=receiver is not None and not self._is_closing
-        )
+        self._owner.connection_lost(self, closed_by_upstream=not self._is_closing)
         if receiver is None:
             return
         if self.answers and not self._received_bytes:
@@ -216,4 +220,4 @@
         receiver, self._receiver = self._receiver, None
         self.close()
         if receiver is not None:
-            receiver.answer_failed(UpstreamCutError(detail))
+            receiver.answer_failed(UpstreamAnswerError(detail))
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_pool.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_pool.py
@@ -41,7 +41,9 @@
     """Connections to one upstream.
 
     Connections in use and being opened count towards the limit. One connection is
-    opened ahead of demand, so that a call rarely waits for the handshake.
+    opened ahead of demand, so that a call rarely waits for the handshake. ``on_event``
+    is told of connections that are ``connected``, ``refused`` or ``unreachable``, and
+    of idle ones that the upstream ``closed``.
     """
 
     def __init__(
@@ -49,13 +51,13 @@
         reactor: Any,
         upstream: Upstream,
         limit: Callable[[], int],
-        on_trouble: Callable[[UpstreamId, str], None],
+        on_event: Callable[[UpstreamId, str], None],
     ) -> None:
         self.upstream = upstream
         self._reactor = reactor
         self._address = Address.from_string(upstream.address)
         self._limit = limit
-        self._on_trouble = on_trouble
+        self._on_event = on_event
         self._idle: list[UpstreamConnection] = []
         self._waiting: deque[Deferred[UpstreamConnection]] = deque()
         self._opening = 0
@@ -92,6 +94,7 @@
         connection.transport.setTcpNoDelay(True)
         self._opening -= 1
         self._open += 1
+        self._on_event(self.upstream.id, "connected")
         self.connection_free(connection)
         if not self._idle:
             self._open_spare()
@@ -100,7 +103,7 @@
         """Fail the call that waits longest, as no byte of it has been sent."""
         self._opening -= 1
         kind = "refused" if reason.check(RefusedError) else "unreachable"
-        self._on_trouble(self.upstream.id, kind)
+        self._on_event(self.upstream.id, kind)
         while self._waiting and self._opening < len(self._waiting):
             self._waiting.popleft().errback(
                 UpstreamRefusedError(f"connection to {self.upstream.address} {kind}")
@@ -119,13 +122,21 @@
         connection.idle_since = self._reactor.seconds()
         self._idle.append(connection)
 
-    def connection_lost(self, connection: UpstreamConnection, *, cut: bool) -> None:
-        """Forget a closed connection."""
+    def connection_lost(
+        self, connection: UpstreamConnection, *, closed_by_upstream: bool
+    ) -> None:
+        """Forget a closed connection.
+
+        After a cut, the next connection is opened at once: whether it is refused
+        tells a crash from a single lost connection.
+        """
         self._open -= 1
         if connection in self._idle:
             self._idle.remove(connection)
-        if cut:
-            self._on_trouble(self.upstream.id, "cut")
+            if closed_by_upstream:
+                self._on_event(self.upstream.id, "closed")
+        elif closed_by_upstream and not self._idle:
+            self._open_spare()
         if self._opening < len(self._waiting) and self.size < self._limit():
             self._connect()
 
