--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -8,7 +8,11 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from banyanshelf_core.errors import UpstreamCutError, UpstreamError
+from banyanshelf_core.errors import (
+    UpstreamAnswerError,
+    UpstreamCutError,
+    UpstreamError,
+)
 from banyanshelf_daemon.http_message import AnswerHead, Header
 
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
@@ -36,8 +40,10 @@
     def connection_free(self, connection: UpstreamConnection) -> None:
         """Take back a connection that can carry another request."""
 
-    def connection_lost(self, connection: UpstreamConnection, *, cut: bool) -> None:
-        """Forget a connection; ``cut`` if the other side closed it during a call."""
+    def connection_lost(
+        self, connection: UpstreamConnection, *, closed_by_upstream: bool
+    ) -> None:
+        """Forget a connection."""
 
 
 class UpstreamConnection(Protocol):
@@ -68,6 +74,7 @@
         self._body_parts: list[bytes] = []
         self._error = ""
         self._is_complete = False
+        self._keeps_alive = False
         self._has_surplus = False
         self._is_interim = False
         self._received_bytes = 0
@@ -129,15 +136,13 @@
             parts, self._body_parts = self._body_parts, []
             receiver.answer_data(parts[0] if len(parts) == 1 else b"".join(parts))
         if self._is_complete and self._receiver is receiver:
-            self._finish(receiver, data)
+            self._finish(receiver)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Report a cut answer."""
         self._is_lost = True
         receiver, self._receiver = self._receiver, None
-        self._owner.connection_lost(
-            self, cut=receiver is not None and not self._is_closing
-        )
+        self._owner.connection_lost(self, closed_by_upstream=not self._is_closing)
         if receiver is None:
             return
         if self.answers and not self._received_bytes:
@@ -178,6 +183,8 @@
                 is_chunked = True
         if self._is_head or status in (204, 304):
             self._head = AnswerHead(status, self._headers, -1)
+            # The codec does not know that no body follows an answer to HEAD, so it
+            # cannot tell where the next answer would begin.
             self._is_complete = self._is_head
             return
         if length is None and not is_chunked:
@@ -197,14 +204,13 @@
             self._is_interim = False
             return
         self._is_complete = True
+        # The codec forgets how the answer was delimited when it leaves this callback.
+        self._keeps_alive = self._parser.should_keep_alive()
 
-    def _finish(self, receiver: AnswerReceiver, data: bytes) -> None:
+    def _finish(self, receiver: AnswerReceiver) -> None:
         self._receiver = None
         self.answers += 1
-        reusable = self._parser.should_keep_alive() and not self._has_surplus
-        if self._is_head and not data.endswith(b"\r\n\r\n"):
-            # The codec does not know that a body may not follow.
-            reusable = False
+        reusable = self._keeps_alive and not self._has_surplus
         if reusable and not self._is_lost:
             self.resume()
             self._owner.connection_free(self)
@@ -216,4 +222,4 @@
         receiver, self._receiver = self._receiver, None
         self.close()
         if receiver is not None:
-            receiver.answer_failed(UpstreamCutError(detail))
+            receiver.answer_failed(UpstreamAnswerError(detail))
