--- a/packages/banyanshelf-bench/src/banyanshelf_bench/fleet.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/fleet.py
@@ -116,7 +116,7 @@
                 "peer_listen": self._address(self._host_by_id[daemon.id], PEER_PORT),
                 "operator_listen": self.operator_address(daemon.id),
                 "store_url": f"http://{self.store}",
-                "host_list_url": f"http://{self.host_list}",
+                "host_list_url": f"http://{self.host_list}/hosts",
                 **daemon.flags,
             }
             self._add(daemon.id, "banyanshelf_daemon", flags)
--- a/packages/banyanshelf-core/src/banyanshelf_core/store_transactions.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/store_transactions.py
@@ -37,6 +37,7 @@
     compares: tuple[Compare, ...]
     puts: tuple[Put, ...]
     reads: tuple[str, ...] = ()
+    deletes: tuple[str, ...] = ()
 
 
 class TransactionResult(NamedTuple):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
@@ -33,7 +33,7 @@
         fields = {
             "time": record.time.isoformat(timespec="microseconds"),
             "level": record.level_name.lower(),
-            "event": record.msg,
+            "event": record.message if record.args else record.msg,
             **record.extra,
         }
         pending = self._pending
@@ -78,6 +78,10 @@
         self._logger = logbook.Logger("banyanshelf", number)
         self._logger.handlers.append(self._handler)
 
+    def handle_all_loggers(self) -> None:
+        """Write the lines of every module's logger here, for the whole process."""
+        self._handler.push_application()
+
     def decision(self, **fields: Any) -> None:
         """Write the line of one routing or placement decision."""
         self._logger.info("decision", extra=fields)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -38,10 +38,25 @@
 log = Logger("host_list")
 
 
+class Host(msgspec.Struct, frozen=True):
+    """One entry of the host list."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: UpstreamState = UpstreamState.LIVE
+
+    def to_upstream(self) -> Upstream:
+        """Return the upstream that the entry describes."""
+        return Upstream(*msgspec.structs.astuple(self))
+
+
 class HostList(msgspec.Struct, frozen=True):
     """The content of the host list."""
 
-    hosts: list[Upstream]
+    hosts: list[Host]
 
 
 @dataclass(slots=True)
@@ -221,7 +236,7 @@
         return True
 
     def _apply(self, host_list: HostList) -> None:
-        listed = {each.id: each for each in host_list.hosts}
+        listed = {each.id: each.to_upstream() for each in host_list.hosts}
         for upstream_id in list(self._notices):
             host = listed.get(upstream_id)
             dropped = host is None and upstream_id in self._listed
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -37,6 +37,9 @@
 
 log = Logger("store_client")
 
+# A start or a takeover needs many calls at once: 16 claim shards take 32.
+BURST_S = 3.0
+
 
 class RangeResult(NamedTuple):
     """Records of a prefix at one revision of the store."""
@@ -68,7 +71,7 @@
         self._prefix = settings.store_prefix
         self._connections = HttpConnections(reactor, agent)
         rate = settings.store_calls_per_second
-        self._budget = TokenBucket(rate, max(rate, 1.0), reactor.seconds())
+        self._budget = TokenBucket(rate, rate * BURST_S, reactor.seconds())
         self._counts: Counter[str] = Counter()
 
     # Records
@@ -101,7 +104,13 @@
                 }
                 for each in transaction.compares
             ],
-            "success": [{"request_put": self._put(*each)} for each in transaction.puts],
+            "success": [
+                *({"request_put": self._put(*each)} for each in transaction.puts),
+                *(
+                    {"request_delete_range": {"key": self._key(key)}}
+                    for key in transaction.deletes
+                ),
+            ],
             "failure": [
                 {"request_range": {"key": self._key(key)}} for key in transaction.reads
             ],
@@ -151,10 +160,13 @@
 
     # Start, stop, status
 
+    def budget_left(self) -> float:
+        """Return the number of calls that can be made at once."""
+        return self._budget.available(self.reactor.seconds())
+
     def snapshot(self) -> dict[str, Any]:
         """Return the number of calls by kind for the status page."""
-        available = self._budget.available(self.reactor.seconds())
-        return {"calls": dict(self._counts), "budget_left": available}
+        return {"calls": dict(self._counts), "budget_left": self.budget_left()}
 
     def stop(self) -> Any:
         """End watches and close connections; returns a Deferred or None."""
