--- a/packages/banyanshelf-bench/src/banyanshelf_bench/commit_text.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/commit_text.py
@@ -15,6 +15,8 @@
 PART_BYTES = 512 * 1024
 STORE_PREFIX = "banyanshelf/"
 
+Head = tuple[int, dict[str, Any] | None]
+
 
 class Committed(NamedTuple):
     """Version and digest of an accepted text, and when it was accepted."""
@@ -33,7 +35,7 @@
     return base64.b64encode(content).decode()
 
 
-def read_head(store: str) -> tuple[int, dict[str, Any] | None]:
+def read_head(store: str) -> Head:
     """Return the head's revision and record; 0 and None before the first commit."""
     key = _encode(STORE_PREFIX + "config/head")
     entries = call_json("POST", store, "/v3/kv/range", {"key": key}).get("kvs", [])
@@ -43,12 +45,18 @@
     return int(entries[0]["mod_revision"]), record
 
 
-def commit_text(store: str, text: str, author: str = "fleet") -> Committed:
+def commit_text(
+    store: str,
+    text: str,
+    author: str = "fleet",
+    seen: Head | None = None,
+) -> Committed:
     """Upload the parts and commit the head.
 
-    Raises :class:`CommitRefusedError` if the head changed meanwhile.
+    ``seen`` is the head that the author has read, by default the present one. Raises
+    :class:`CommitRefusedError` if the head has changed since.
     """
-    revision, head = read_head(store)
+    revision, head = read_head(store) if seen is None else seen
     version = (head["version"] if head else 0) + 1
     content = text.encode()
     text_digest = digest(content)
