--- a/packages/banyanshelf-bench/src/banyanshelf_bench/commit_text.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/commit_text.py
@@ -5,17 +5,23 @@
 import base64
 import time
 import uuid
-from typing import Any, NamedTuple
-
-import msgspec
+from typing import NamedTuple
 
 from banyanshelf_bench.control import call_json
 from banyanshelf_core.hashing import digest
+from banyanshelf_core.store_records import (
+    CONFIG_HEAD_KEY,
+    ConfigHead,
+    decode_record,
+    encode_record,
+    history_key,
+    part_key,
+    split_text,
+)
 
-PART_BYTES = 512 * 1024
 STORE_PREFIX = "banyanshelf/"
 
-Head = tuple[int, dict[str, Any] | None]
+Head = tuple[int, ConfigHead | None]
 
 
 class Committed(NamedTuple):
@@ -30,18 +36,21 @@
     """Another change was committed first."""
 
 
-def _encode(value: str | bytes) -> str:
-    content = value.encode() if isinstance(value, str) else value
+def _encode(content: bytes) -> str:
     return base64.b64encode(content).decode()
 
 
+def _key(key: str) -> str:
+    return _encode((STORE_PREFIX + key).encode())
+
+
 def read_head(store: str) -> Head:
     """Return the head's revision and record; 0 and None before the first commit."""
-    key = _encode(STORE_PREFIX + "config/head")
-    entries = call_json("POST", store, "/v3/kv/range", {"key": key}).get("kvs", [])
+    answer = call_json("POST", store, "/v3/kv/range", {"key": _key(CONFIG_HEAD_KEY)})
+    entries = answer.get("kvs", [])
     if not entries:
         return 0, None
-    record = msgspec.json.decode(base64.b64decode(entries[0]["value"]))
+    record = decode_record(base64.b64decode(entries[0]["value"]), ConfigHead)
     return int(entries[0]["mod_revision"]), record
 
 
@@ -57,38 +66,27 @@
     :class:`CommitRefusedError` if the head has changed since.
     """
     revision, head = read_head(store) if seen is None else seen
-    version = (head["version"] if head else 0) + 1
-    content = text.encode()
-    text_digest = digest(content)
-    parts = [
-        content[start : start + PART_BYTES]
-        for start in range(0, len(content), PART_BYTES)
-    ]
+    text_digest = digest(text.encode())
+    parts = split_text(text)
     for index, part in enumerate(parts):
-        part_key = f"{STORE_PREFIX}config/parts/{text_digest}/{index}"
-        put = {"key": _encode(part_key), "value": _encode(part)}
+        put = {"key": _key(part_key(text_digest, index)), "value": _encode(part)}
         call_json("POST", store, "/v3/kv/put", put)
-    record = {
-        "version": version,
-        "digest": text_digest,
-        "parts": len(parts),
-        "apply_id": uuid.uuid4().hex,
-        "author": author,
-        "time": time.time(),
-    }
-    value = _encode(msgspec.json.encode(record))
-    head_key = _encode(STORE_PREFIX + "config/head")
-    history_key = _encode(f"{STORE_PREFIX}config/history/{version}")
-    transaction = {
-        "compare": [
-            {"key": head_key, "target": "MOD", "mod_revision": str(revision)},
-        ],
-        "success": [
-            {"request_put": {"key": head_key, "value": value}},
-            {"request_put": {"key": history_key, "value": value}},
-        ],
-    }
+    record = ConfigHead(
+        version=(head.version if head else 0) + 1,
+        digest=text_digest,
+        parts=len(parts),
+        apply_id=uuid.uuid4().hex,
+        author=author,
+        time=time.time(),
+    )
+    value = _encode(encode_record(record))
+    keys = [_key(CONFIG_HEAD_KEY), _key(history_key(record.version))]
+    condition = {"key": keys[0], "target": "MOD", "mod_revision": str(revision)}
+    puts = [{"request_put": {"key": key, "value": value}} for key in keys]
+    transaction = {"compare": [condition], "success": puts}
     answer = call_json("POST", store, "/v3/kv/txn", transaction)
     if not answer.get("succeeded", False):
-        raise CommitRefusedError(f"version {version} was committed by somebody else")
-    return Committed(version, text_digest, time.monotonic())
+        raise CommitRefusedError(
+            f"version {record.version} was committed by somebody else; read it first",
+        )
+    return Committed(record.version, text_digest, time.monotonic())
