--- a/packages/banyanshelf-core/src/banyanshelf_core/configuration.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/configuration.py
@@ -158,7 +158,8 @@
     ) -> list[ConfigurationEffect]:
         """Handle a text that was read from the store."""
         self._store_answered = True
-        return self._offer(STORE_SOURCE, ConfigText(version, digest, text), now)
+        effects = self._offer(STORE_SOURCE, ConfigText(version, digest, text), now)
+        return effects + self._settle(now)
 
     def receive(
         self, sender: MemberId, message: ConfigurationMessage, now: float
