Refuse unusable values from malformed peer messages

Cause: the C decoder returns text that is not UTF-8 as bytes, so a damaged update put a member with an id of type bytes into the view, where sorting fails from then on; an incarnation near 2^63 could not be refuted; an unusable or non-loopback address of a member raised an error in the task that sent to it, or was dialed without TLS.

Change: the codec refuses text that is not UTF-8; updates with an incarnation of 2^50 or more are ignored; members with unusable addresses are logged and not dialed, and without TLS only loopback is dialed.

Conclusion: what passes the codec has the declared types.

--- a/features/core/codec.feature
+++ b/features/core/codec.feature
@@ -17,6 +17,11 @@
     When 2000 random byte strings with seed 7 are decoded
     Then each gives either a message or a codec error
 
+  Scenario: Text that is not UTF-8 is refused with a typed error
+    Given a peer message "Ping" with sample content
+    When its text bytes are replaced by bytes that are not UTF-8
+    Then the codec refuses it
+
   Scenario: A truncated message is refused with a typed error
     Given a peer message "ClaimReply" with sample content
     When every proper prefix of its encoding is decoded
--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -81,3 +81,15 @@
     allowed = (*messages.PeerMessage.__args__, CodecError)
     assert all(isinstance(result, allowed) for result in context.results)
     assert any(isinstance(result, CodecError) for result in context.results)
+
+
+@when("its text bytes are replaced by bytes that are not UTF-8")
+def step_not_utf8(context):
+    content = encode(context.message)
+    assert content.count(b"gateway-1") == 1
+    context.results = [decoded_or_error(content.replace(b"gateway-1", b"\xff" * 9))]
+
+
+@then("the codec refuses it")
+def step_refused(context):
+    assert isinstance(context.results[0], CodecError), context.results
--- a/packages/banyanshelf-core/src/banyanshelf_core/membership.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/membership.py
@@ -33,6 +33,10 @@
 # Others may have removed this member after this long without an answer from it.
 PRESUMED_REMOVED_S = PING_PERIOD_S + SUSPICION_S
 
+# Milliseconds since the epoch stay below this for 30,000 years. A higher value from a
+# malformed update could not be refuted, since the next one may not fit into 64 bits.
+MAX_INCARNATION = 1 << 50
+
 _STATUS_BY_NAME = {status.value: status for status in MemberStatus}
 
 
@@ -202,7 +206,7 @@
         self, update: MemberUpdate, now: float, effects: list[MembershipEffect]
     ) -> None:
         status = _STATUS_BY_NAME.get(update.status)
-        if status is None:
+        if status is None or not 0 <= update.incarnation < MAX_INCARNATION:
             return
         if update.id == self.identity.id:
             self._merge_self(update, status, effects)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_link.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_link.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +14,7 @@
 from twisted.internet.ssl import Certificate, PrivateCertificate
 
 from banyanshelf_core.backoff import Backoff
+from banyanshelf_core.errors import SettingsError
 from banyanshelf_core.messages import (
     Ack,
     Hello,
@@ -290,7 +292,11 @@
         redial = self._redials.pop(member_id, None)
         if redial is not None and redial.active():
             redial.cancel()
-        address = Address.from_string(member.address)
+        try:
+            address = self._peer_address(member)
+        except SettingsError as error:
+            log.error("member {} is not dialed: {}", member_id, error)
+            return
         factory = _Dialer(self, member_id)
         source = (Address.from_string(self._settings.peer_listen).host, 0)
         if self._tls is None:
@@ -308,6 +314,15 @@
             )
         self._dialing[member_id] = connector
 
+    def _peer_address(self, member: Member) -> Address:
+        address = Address.from_string(member.address)
+        if self._tls is None and not ip_address(address.host).is_loopback:
+            raise SettingsError(
+                f"{member.address} is not on loopback; give tls_certificate, tls_key "
+                "and tls_authority",
+            )
+        return address
+
     def dial_failed(self, member_id: MemberId) -> None:
         """Try again later, if the member is still live."""
         self._dialing.pop(member_id, None)
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/codec.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/codec.py
@@ -49,6 +49,23 @@
     return value
 
 
+def _text(value: Any) -> Any:
+    # The C decoder returns bytes that are not UTF-8 as they are.
+    if not isinstance(value, str):
+        raise CodecError("a text field is not UTF-8; the link is closed")
+    return value
+
+
+def _texts(values: Any) -> Any:
+    return [_text(value) for value in values]
+
+
+def _decoded_leaf(hint: Any) -> Converter:
+    if hint is str:
+        return _text
+    return _texts if hint == list[str] else _unchanged
+
+
 def _nested_class(hint: Any) -> tuple[type | None, bool]:
     """Return the nested message class of a type hint and whether it is in a list."""
     if typing.get_origin(hint) in (typing.Union, types.UnionType):
@@ -60,10 +77,14 @@
     return nested, is_list
 
 
-def _converter(hint: Any, convert: Callable[[type], Converter]) -> Converter:
+def _converter(
+    hint: Any,
+    convert: Callable[[type], Converter],
+    leaf: Callable[[Any], Converter] = lambda hint: _unchanged,
+) -> Converter:
     nested, is_list = _nested_class(hint)
     if nested is None:
-        return _unchanged
+        return leaf(hint)
     convert_nested = convert(nested)
     if is_list:
         return lambda values: [convert_nested(value) for value in values]
@@ -97,7 +118,7 @@
     hints = typing.get_type_hints(message_class)
     optional = _optional_names(message_class)
     converters = [
-        (each.name, _converter(hints[each.name], _from_struct))
+        (each.name, _converter(hints[each.name], _from_struct, _decoded_leaf))
         for each in fields(message_class)
     ]
 
