--- a/packages/banyanshelf-bench/src/banyanshelf_bench/hop_gateways.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/hop_gateways.py
@@ -166,7 +166,8 @@
     def on_change(self, handler: Any) -> None:
         """Ignore the handler."""
 
-    on_members_change = on_upstreams_change = on_link_change = on_change
+    on_members_change = on_upstreams_change = on_change
+    on_link_change = on_self_removed = on_change
 
     def acquire(self, service_name: str, request: Any) -> Deferred[Permit]:
         """Grant a permit."""
@@ -177,7 +178,7 @@
 
     def claim(self, *arguments: Any) -> Deferred[ClaimDecision]:
         """Refuse, as the benchmark sends no keys."""
-        raise NotImplementedError
+        raise AssertionError("the benchmark sends no idempotency keys")
 
     def complete(
         self, attempt_id: str, outcome: ClaimOutcome, answer: StoredAnswer | None
