Check the daemons' shared tasks together and name the receiver in Hello

Cause: store outages, restarts without the store, pauses and malformed bytes concern links, store client and cluster at once.

Change: scenarios on a simulated reactor with a fake store; Hello has the field receiver, and a daemon that is not the receiver closes the connection.

--- a/features/steps/simulated_network.py
+++ b/features/steps/simulated_network.py
@@ -102,9 +102,8 @@
             return
         self.state = "connected"
         network = self.reactor.network
-        near, far = PipeTransport(self.reactor, network), PipeTransport(
-            self.reactor, network
-        )
+        near = PipeTransport(self.reactor, network)
+        far = PipeTransport(self.reactor, network)
         near.other, far.other = far, near
         network.transports |= {near, far}
         self.transport = near
@@ -170,7 +169,7 @@
         wrapped = TLSMemoryBIOFactory(context, True, factory, self)
         return self.connectTCP(host, port, wrapped)
 
-    def run_for(self, seconds, step_s=0.01):
+    def run_for(self, seconds):
         """Advance in small steps, so that messages cross in order."""
         end = self.seconds() + seconds
         while self.seconds() < end - 1e-9:
--- a/features/steps/simulated_store.py
+++ b/features/steps/simulated_store.py
@@ -72,7 +72,7 @@
 
 
 class FakeAgent:
-    """Twisted agent that hands requests to ``respond(method, uri, headers, body)``.
+    """Twisted agent that hands requests to ``respond(uri, headers, body)``.
 
     ``is_down`` refuses connections; ``lose_answers`` lets requests take effect and
     drops that many of their answers; ``lose_requests`` drops requests.
@@ -110,7 +110,9 @@
         if self.lose_answers:
             self.lose_answers -= 1
             return
-        if not result.called:
+        if isinstance(response, Deferred):
+            response.addCallback(lambda late: result.called or result.callback(late))
+        elif not result.called:
             result.callback(response)
 
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -32,13 +32,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message on a link, sent by the side that opened it."""
+    """First message on a link in each direction.
+
+    ``receiver`` is the member that the sender expects at the other end; any other
+    member closes the link.
+    """
 
     id: str
     address: str
     zone: str
     incarnation: int
     protocol_version: int
+    receiver: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_link.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_link.py
@@ -195,10 +195,9 @@
 
     # Connections
 
-    def hello(self) -> Hello:
-        """Return this daemon's introduction."""
-        identity = self.identity
-        return Hello(*identity, PROTOCOL_VERSION)
+    def hello(self, receiver: MemberId) -> Hello:
+        """Return this daemon's introduction to a member."""
+        return Hello(*self.identity, PROTOCOL_VERSION, receiver)
 
     def connection_made(self, connection: PeerConnection) -> None:
         """Keep track of a new connection."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_protocol.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/peer_protocol.py
@@ -36,7 +36,7 @@
     """
 
     def __init__(self, links: PeerLinks, dialed: MemberId | None) -> None:
-        self._links = links
+        self.links = links
         self.dialed = dialed
         self._received = bytearray()
         self._outgoing: deque[bytes] = deque()
@@ -57,8 +57,8 @@
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Introduce this daemon and wait for the other's ``Hello``."""
-        reactor = self._links.reactor
-        self._tokens = float(self._links.control_bytes_per_second)
+        reactor = self.links.reactor
+        self._tokens = float(self.links.control_bytes_per_second)
         self._refilled_at = reactor.seconds()
         set_no_delay = getattr(self.transport, "setTcpNoDelay", None)
         if set_no_delay is not None:
@@ -66,9 +66,9 @@
         transport = cast(Any, self.transport)
         transport.registerProducer(self, True)
         self._hello_timeout = reactor.callLater(HELLO_TIMEOUT_S, self._no_hello)
-        self._links.connection_made(self)
+        self.links.connection_made(self)
         if self.dialed:
-            self.write(self._links.hello())
+            self.write(self.links.hello(self.dialed))
 
     def _no_hello(self) -> None:
         self._hello_timeout = None
@@ -77,7 +77,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Cancel what is scheduled and report the loss."""
         self._stop()
-        self._links.connection_lost(self)
+        self.links.connection_lost(self)
 
     def close(self, reason: str) -> None:
         """Close at once; queued messages are dropped."""
@@ -133,7 +133,7 @@
 
     def _on_message(self, message: PeerMessage) -> None:
         if self.peer is not None:
-            self._links.message_received(self, message)
+            self.links.message_received(self, message)
             return
         if not isinstance(message, Hello):
             self.close(f"first message is {type(message).__name__}, not Hello")
@@ -144,7 +144,11 @@
                 f"{PROTOCOL_VERSION}; run compatible versions",
             )
             return
-        if message.id == self._links.identity.id:
+        if message.receiver != self.links.identity.id:
+            # The address was reused, or a malformed update joined it with another id.
+            self.close(f"the peer expected member {message.receiver}")
+            return
+        if message.id == self.links.identity.id:
             self.close("the peer has this daemon's own member id")
             return
         if self.dialed is not None and message.id != self.dialed:
@@ -155,8 +159,8 @@
         self.peer = message
         if self.dialed is None:
             self.opened_by = message.id
-            self.write(self._links.hello())
-        self._links.hello_received(self, message)
+            self.write(self.links.hello(message.id))
+        self.links.hello_received(self, message)
 
     # Sending
 
@@ -174,13 +178,13 @@
         self.bytes_out[type(message).__name__] += size
         if self._flush_call is None and not self._blocked:
             delay = self._flush_delay()
-            self._flush_call = self._links.reactor.callLater(delay, self._flush)
+            self._flush_call = self.links.reactor.callLater(delay, self._flush)
         return True
 
     def _flush_delay(self) -> float:
         """Return 0 with a full token bucket, growing to the limit as it empties."""
-        rate = float(self._links.control_bytes_per_second)
-        now = self._links.reactor.seconds()
+        rate = float(self.links.control_bytes_per_second)
+        now = self.links.reactor.seconds()
         self._tokens = min(rate, self._tokens + (now - self._refilled_at) * rate)
         self._refilled_at = now
         # Bursts within half of the bucket leave at the end of the reactor turn.
@@ -198,7 +202,7 @@
         self._outgoing.clear()
         self._outgoing_bytes = 0
         # The bucket may run into debt by one second's budget.
-        rate = float(self._links.control_bytes_per_second)
+        rate = float(self.links.control_bytes_per_second)
         self._tokens = max(-rate, self._tokens - len(content))
         cast(Any, self.transport).write(content)
 
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -34,6 +34,7 @@
   3: optional string zone
   4: optional i64 incarnation
   5: optional i64 protocol_version
+  6: optional string receiver
 }
 
 struct Ping {
