--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -95,7 +95,8 @@
         self._listed: dict[UpstreamId, Upstream] = {}
         self._merged: dict[ServiceName, dict[UpstreamId, Upstream]] = {}
         self._notices: dict[UpstreamId, _Notice] = {}
-        self._settled: dict[tuple[UpstreamId, MemberId], int] = {}
+        # Sequence and expiry of notices that the list has answered.
+        self._settled: dict[tuple[UpstreamId, MemberId], tuple[int, float]] = {}
         self._sequence = 0
         self._expiry: Any = None
         self._handlers: list[Callable[[], None]] = []
@@ -160,8 +161,9 @@
         known = self._notices.get(notice.upstream)
         if known is not None and notice.sequence <= known.message.sequence:
             return
-        # The list has answered this notice already, so a late copy means nothing.
-        if notice.sequence <= self._settled.get((notice.upstream, notice.origin), 0):
+        # A late copy of a notice that the list has answered already means nothing.
+        key = (notice.upstream, notice.origin)
+        if notice.sequence <= self._settled.get(key, (0, 0.0))[0]:
             return
         if notice.state == UpstreamState.LIVE.value:
             self._notices.pop(notice.upstream, None)
@@ -189,7 +191,8 @@
 
     def _settle(self, upstream_id: UpstreamId) -> None:
         message = self._notices.pop(upstream_id).message
-        self._settled[upstream_id, message.origin] = message.sequence
+        expires = self._reactor.seconds() + NOTICE_EXPIRY_S
+        self._settled[upstream_id, message.origin] = (message.sequence, expires)
 
     # The list
 
@@ -242,12 +245,10 @@
             dropped = host is None and upstream_id in self._listed
             if dropped or (host is not None and host.state is UpstreamState.LEAVING):
                 self._settle(upstream_id)
-        gone = {each for each in self._settled if each[0] not in listed}
-        # Late copies about a host that is gone cannot block anything that is listed.
-        for key in gone - {
-            (each, origin) for each, origin in gone if each in self._listed
-        }:
-            del self._settled[key]
+        now = self._reactor.seconds()
+        self._settled = {
+            key: settled for key, settled in self._settled.items() if settled[1] > now
+        }
         self._listed = listed
         self._changed()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from treq.client import HTTPClient
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
@@ -47,6 +47,8 @@
         self.done: Deferred[bytes] = Deferred(self._cancel)
 
     def _cancel(self, _: Any) -> None:
+        # Aborting may report the end at once, which must not count as a result.
+        self.done.errback(CancelledError())
         if self.transport is not None:
             self.transport.abortConnection()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
@@ -42,6 +42,8 @@
         self.done: Deferred[None] = Deferred(self._cancel)
 
     def _cancel(self, _: Any) -> None:
+        # Aborting may report the end at once, which must not count as a result.
+        self.done.errback(CancelledError())
         if self.transport is not None:
             self.transport.abortConnection()
 
