Add the operators' client

Cause: texts could only be committed by the test fleet.

Commands return a plan that runs after fire has consumed every word, because fire calls a command before it notices a misspelt flag behind it.

Conclusion: the text can be steered and read from the command line.

--- /dev/null
+++ b/features/e2e/client.feature
@@ -0,0 +1,44 @@
+Feature: Operators check, apply and read the text with the client
+
+  Background:
+    Given an operator's client beside a local fleet of 1 daemon
+
+  Scenario: A valid text is applied and shown
+    When the operator applies the fleet's text with a new comment
+    Then the client exits with 0
+    And the client's show command prints that comment
+
+  Scenario: A change based on an old version is refused and names the change before
+    When the operator applies the fleet's text with a new comment and base 99
+    Then the client exits with 1
+    And the client's output names "came first"
+    And the client's show command does not print that comment
+
+  Scenario: A misspelt flag behind apply changes nothing
+    # fire calls a command before it notices a flag that the command does not have.
+    When the operator applies the fleet's text with a new comment and flag "--bsae=1"
+    Then the client exits with 2
+    And the client's show command does not print that comment
+
+  Scenario Outline: A bad text is refused with place, problem and remedy
+    When the operator applies the text <text>
+    Then the client exits with 1
+    And the client's output names "<place>"
+
+    Examples:
+      | text                                                 | place                     |
+      | [services.desk]/slots_per_upstream = "three"         | slots_per_upstream        |
+      | [services.desk]/slotz = 3                            | remove the key            |
+      | [services.desk]/depends_on = ["stock"]               | services.desk.depends_on  |
+      | [services.a]/hosts=["a"]/depends_on = ["a"]          | dependency cycle a -> a   |
+      | [services.desk                                       | not valid TOML            |
+
+  Scenario: The outcome of an apply without a store is not a success
+    When the operator applies the fleet's text to a store that is not there
+    Then the client exits with 1
+    And the client's output names "nothing was changed"
+
+  Scenario: Unusable daemon settings are refused at the start
+    When a daemon is started with the flag "--member-idd=x"
+    Then the client exits with 2
+    And the client's output names "unknown setting"
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 from logbook import Logger
@@ -27,7 +27,6 @@
     HttpConnections,
     read_body,
 )
-from banyanshelf_daemon.settings import Settings
 from banyanshelf_daemon.store_watch import StoreWatch, WatchEvent
 from banyanshelf_daemon.token_bucket import TokenBucket
 
@@ -48,6 +47,26 @@
     records: list[KeyValue]
 
 
+class StoreSettings(Protocol):
+    """The settings that the store client needs, of the daemon or of another program."""
+
+    @property
+    def store_url(self) -> str:
+        """Base URL of the store."""
+
+    @property
+    def store_prefix(self) -> str:
+        """Prefix of every key."""
+
+    @property
+    def store_calls_per_second(self) -> float:
+        """Budget of calls."""
+
+    @property
+    def seed(self) -> int:
+        """Seed of the backoff, or 0 for a random one."""
+
+
 class StoreClient:
     """Reads, writes, leases and watches below ``settings.store_prefix``.
 
@@ -60,7 +79,7 @@
     def __init__(
         self,
         reactor: Any,
-        settings: Settings,
+        settings: StoreSettings,
         agent: Any = None,
         rng: random.Random | None = None,
     ) -> None:
