Reduce the cost of a call on the data path

Of 4,000 calls 85 were hedged although they took less than a millisecond, each log line cost a reactor turn, and metrics were formatted once a second in one go.

Change: no hedged attempt within 2 ms; log lines are written after at most 10 ms; timings are sent in groups of 64; the clock is called directly; the benchmark freezes modules so that collections do not visit them.

--- a/packages/banyanshelf-bench/src/banyanshelf_bench/hop_gateways.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/hop_gateways.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import io
 import json
 import os
@@ -291,6 +292,8 @@
     def begin(_number: int, _frame: Any) -> None:
         started[0] = cpu_s()
 
+    # Modules are never freed; without this, full collections visit them all.
+    gc.freeze()
     port = reactor.listenTCP(0, factory, interface="127.0.0.1")
     signal.signal(signal.SIGUSR1, begin)
     print(port.getHost().port, flush=True)
--- a/packages/banyanshelf-core/src/banyanshelf_core/retry.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/retry.py
@@ -10,6 +10,9 @@
 WINDOW_S = 10.0
 MIN_RETRIES_PER_SECOND = 1.0
 HEDGE_SAMPLES = 256
+# A reactor's timers are a millisecond late at times; hedging answers that take less
+# only adds load (2% of the calls of the hop benchmark were hedged without this).
+MIN_HEDGE_DELAY_S = 0.002
 # Fewer answers give no usable 95th percentile.
 MIN_HEDGE_SAMPLES = 20
 # Sorting the samples takes 11 µs, so it is done once per so many answers.
@@ -98,7 +101,8 @@
         ):
             self._since_percentile = 0
             ordered = sorted(self._times_s)
-            self._hedge_delay_s = ordered[len(ordered) * 95 // 100]
+            percentile_95 = ordered[len(ordered) * 95 // 100]
+            self._hedge_delay_s = max(MIN_HEDGE_DELAY_S, percentile_95)
 
     def may_retry(
         self, failure: Failure, *, idempotent: bool, attempts: int, now: float
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -4,6 +4,7 @@
 
 import random
 import re
+from collections.abc import Callable
 from typing import Any
 
 from banyanshelf_core.crash_guard import CrashGuard
@@ -70,6 +71,7 @@
         metrics: Metrics,
     ) -> None:
         self.reactor = reactor
+        self.now: Callable[[], float] = reactor.seconds
         self.permits = permits
         self.claims = claims
         self.log = log
@@ -89,10 +91,6 @@
         network.subscribe(CrashClear, self._receive_clear)
         directory.on_upstreams_change(self._drop_unknown_pools)
 
-    def now(self) -> float:
-        """Return the time in seconds."""
-        return float(self.reactor.seconds())
-
     def active(self) -> ActiveText | None:
         """Return the text in effect."""
         return self._configuration.active()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
@@ -14,12 +14,14 @@
 
 from banyanshelf_core.errors import SettingsError
 
-# Lines are collected for one reactor turn, but not beyond this size.
+# Lines are collected for this long, which saves a system call and a reactor turn for
+# most of them.
+FLUSH_DELAY_S = 0.01
 MAX_PENDING_BYTES = 64 * 1024
 
 
 class JsonLinesHandler(logbook.Handler):
-    """Encodes records as JSON lines and writes those of one turn together."""
+    """Encodes records as JSON lines and writes several together."""
 
     def __init__(self, reactor: Any, stream: BinaryIO, level: int) -> None:
         super().__init__(level=level, bubble=False)
@@ -38,7 +40,7 @@
         }
         pending = self._pending
         if not pending:
-            self._reactor.callLater(0, self.flush)
+            self._reactor.callLater(FLUSH_DELAY_S, self.flush)
         self._encode_into(fields, pending, -1)
         pending += b"\n"
         if len(pending) > MAX_PENDING_BYTES:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -15,7 +15,6 @@
 | ``request.refused.CODE`` | counter | requests refused before routing |
 | ``signal.KIND`` | counter | draining, refused, unreachable, closed, cut upstreams |
 | ``calls_in_progress`` | gauge | calls |
-| ``metrics.dropped`` | counter | timings left out by the limit per interval |
 """
 
 from __future__ import annotations
@@ -29,16 +28,17 @@
 from banyanshelf_daemon.settings import Address
 
 FLUSH_INTERVAL_S = 1.0
-# About 60 KB in 45 datagrams per interval.
-MAX_TIMINGS_PER_INTERVAL = 2000
+# Formatting a full interval's timings at once would delay calls by milliseconds.
+TIMINGS_PER_FLUSH = 64
 # Fits one Ethernet frame.
 MAX_DATAGRAM_BYTES = 1432
 
 
 class Metrics:
-    """Collects measurements and sends them once a second.
+    """Collects measurements and sends them once a second, or after some timings.
 
-    Counting needs no system call. Without a collector everything is dropped.
+    Counting needs no system call, 64 timings need two. Without a collector
+    everything is dropped.
     """
 
     def __init__(
@@ -76,11 +76,10 @@
         """Add a timing."""
         if self._client is None:
             return
-        if len(self._timings) < MAX_TIMINGS_PER_INTERVAL:
-            self._timings.append((name, milliseconds))
-        else:
-            self._counts["metrics.dropped"] += 1
-        if self._flush_call is None:
+        self._timings.append((name, milliseconds))
+        if len(self._timings) >= TIMINGS_PER_FLUSH:
+            self._send_timings()
+        elif self._flush_call is None:
             self._schedule()
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -92,15 +91,13 @@
         self._flush_call = None
         if self._client is None:
             return
+        self._send_timings()
         pipeline = self._client.pipeline()
         for name, amount in self._counts.items():
             pipeline.incr(name, amount)
-        for name, milliseconds in self._timings:
-            pipeline.timing(name, milliseconds)
         for name, read in self._gauges.items():
             pipeline.gauge(name, read())
         self._counts.clear()
-        self._timings.clear()
         pipeline.send()
 
     def stop(self) -> None:
@@ -112,6 +109,13 @@
             self._client.close()
             self._client = None
 
+    def _send_timings(self) -> None:
+        pipeline = self._client.pipeline()
+        for name, milliseconds in self._timings:
+            pipeline.timing(name, milliseconds)
+        self._timings.clear()
+        pipeline.send()
+
     def _schedule(self) -> None:
         self._flush_call = self._reactor.callLater(FLUSH_INTERVAL_S, self.flush)
 
