--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from banyanshelf_core.messages import ClaimStatus
-from banyanshelf_core.model import Member, Upstream, UpstreamState
+from banyanshelf_core.model import Member, Upstream
 from banyanshelf_core.text import parse_text
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -51,6 +51,7 @@
         self.protocol = None
         self.is_closed = False
         self.was_aborted = False
+        self.history = []
 
     def attach(self, protocol):
         """Connect the transport to a protocol."""
@@ -79,6 +80,7 @@
     def write(self, data):
         """Keep the bytes unless closed."""
         if not self.is_closed:
+            self.history.append(data)
             super().write(data)
 
     def setTcpNoDelay(self, enabled):  # noqa: N802
@@ -280,6 +282,15 @@
         """Return the transports on which a request has arrived unanswered."""
         return [found for found in self.upstream_transports if found.value()]
 
+    def advance(self, seconds):
+        """Let time pass and run what follows."""
+        self.reactor.advance(seconds)
+        self.settle()
+
+    def sent_requests(self):
+        """Return all requests that have reached an upstream, in no fixed order."""
+        return [data for found in self.upstream_transports for data in found.history]
+
     def answer(self, transport, data):
         """Deliver bytes of an upstream and run what follows."""
         transport.clear()
@@ -291,14 +302,6 @@
         self.log.flush()
         return [json.loads(line) for line in self.log_stream.getvalue().splitlines()]
 
-    def end(self):
-        """Return the calls that the clock still holds after the data path is idle."""
-        return [call for call in self.reactor.getDelayedCalls() if call.active()]
-
-
-def upstream_is_leaving(upstream):
-    return upstream._replace(state=UpstreamState.LEAVING)
-
 
 def split_answers(data):
     """Return (status, header dictionary, body) of each answer with a length."""
