End the loops of store client and host list on stop with a real agent

Cause: with real HTTP connections, stop failed because the transport of a response body cannot abort, and Twisted's agent wraps a cancelled request into an error of its own, which the loops took for an unreachable server and asked again. The fakes had been more permissive than Twisted.

The fake transport cannot abort and the fake agent wraps cancellations as Twisted's does.

--- a/features/steps/simulated_store.py
+++ b/features/steps/simulated_store.py
@@ -5,10 +5,10 @@
 import base64
 import json
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone, ResponseFailed
+from twisted.web.client import ResponseDone, ResponseFailed, ResponseNeverReceived
 from twisted.web.http_headers import Headers
 
 LATENCY_S = 0.002
@@ -23,10 +23,10 @@
 
 
 class FakeTransport:
-    """Transport of a response body."""
+    """Transport of a response body; like Twisted's, it cannot abort."""
 
-    def __init__(self, on_abort):
-        self.abortConnection = self.loseConnection = on_abort
+    def __init__(self, on_close):
+        self.loseConnection = on_close
 
 
 class FakeResponse:
@@ -88,7 +88,10 @@
 
     def request(self, method, uri, headers=None, bodyProducer=None):
         """Send a request."""
-        result = Deferred()
+        # Twisted's agent reports a cancellation as an error of its own.
+        result = Deferred(
+            lambda it: it.errback(ResponseNeverReceived([Failure(CancelledError())]))
+        )
         self.request_times.append(self.clock.seconds())
         collected = []
         if bodyProducer is not None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -21,7 +21,12 @@
     UpstreamState,
 )
 from banyanshelf_daemon.background import BackgroundTasks
-from banyanshelf_daemon.http_json import DiscardedBody, HttpConnections, read_body
+from banyanshelf_daemon.http_json import (
+    DiscardedBody,
+    HttpConnections,
+    read_body,
+    within,
+)
 from banyanshelf_daemon.interfaces import PeerNetwork
 from banyanshelf_daemon.settings import Settings
 
@@ -220,8 +225,7 @@
         request: Deferred[Any] = self._connections.client.get(
             self._url, headers=headers, allow_redirects=False, unbuffered=True
         )
-        request.addTimeout(ANSWER_TIMEOUT_S, self._reactor)
-        response = await request
+        response = await within(ANSWER_TIMEOUT_S, request, self._reactor)
         if response.code == 304:
             response.deliverBody(DiscardedBody())
             return False
@@ -229,8 +233,7 @@
             response.deliverBody(DiscardedBody())
             raise ValueError(f"the host list answered with status {response.code}")
         reading = Deferred.fromCoroutine(read_body(response, MAX_LIST_BYTES))
-        reading.addTimeout(BODY_TIMEOUT_S, self._reactor)
-        content = await reading
+        content = await within(BODY_TIMEOUT_S, reading, self._reactor)
         (version,) = response.headers.getRawHeaders("Host-List-Version") or [""]
         if version and version == self._version:
             return False
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
@@ -47,10 +47,10 @@
         self.done: Deferred[bytes] = Deferred(self._cancel)
 
     def _cancel(self, _: Any) -> None:
-        # Aborting may report the end at once, which must not count as a result.
+        # Closing may report the end at once, which must not count as a result.
         self.done.errback(CancelledError())
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Collect a piece."""
@@ -58,7 +58,7 @@
         if len(self._content) > self._limit and not self.done.called:
             self.done.errback(ValueError(f"response exceeds {self._limit} bytes"))
             if self.transport is not None:
-                self.transport.abortConnection()
+                self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Report the whole body, or the loss."""
@@ -91,6 +91,28 @@
         return self._pool.closeCachedConnections() if self._pool else None
 
 
+def _timed_out(result: Any, seconds: float) -> Any:
+    if isinstance(result, Failure):
+        raise TimeoutError(f"no answer within {seconds:g} s")
+    return result
+
+
+async def within(seconds: float, pending: Deferred[Any], reactor: Any) -> Any:
+    """Return the result of a request or a body; raises ``TimeoutError``.
+
+    The agent wraps the cancellation of a request into an error of its own; it is
+    raised as ``CancelledError`` here, so that loops end instead of asking again.
+    """
+    pending.addTimeout(seconds, reactor, onTimeoutCancel=_timed_out)
+    try:
+        return await pending
+    except Exception as error:
+        reasons = getattr(error, "reasons", ())
+        if any(each.check(CancelledError) for each in reasons):
+            raise CancelledError from error
+        raise
+
+
 async def read_body(response: Any, limit: int) -> bytes:
     """Return the body of a response; fails if it exceeds ``limit`` bytes."""
     body = BoundedBody(limit)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -26,6 +26,7 @@
     DiscardedBody,
     HttpConnections,
     read_body,
+    within,
 )
 from banyanshelf_daemon.store_watch import StoreWatch, WatchEvent
 from banyanshelf_daemon.token_bucket import TokenBucket
@@ -222,9 +223,8 @@
             allow_redirects=False,
             unbuffered=True,
         )
-        request.addTimeout(CALL_TIMEOUT_S, self.reactor)
         try:
-            response = await request
+            response = await within(CALL_TIMEOUT_S, request, self.reactor)
         except CancelledError:
             raise
         except Exception as error:
@@ -247,9 +247,8 @@
     async def _call(self, kind: str, body: dict[str, Any]) -> dict[str, Any]:
         response = await self.open(kind, body)
         reading = Deferred.fromCoroutine(read_body(response, MAX_RESPONSE_BYTES))
-        reading.addTimeout(CALL_TIMEOUT_S, self.reactor)
         try:
-            content = await reading
+            content = await within(CALL_TIMEOUT_S, reading, self.reactor)
             result = msgspec.json.decode(content)
         except CancelledError:
             raise
