--- a/features/steps/simulated_group.py
+++ b/features/steps/simulated_group.py
@@ -16,12 +16,13 @@
     MembershipProtocol,
     SelfRemoved,
 )
-from banyanshelf_core.messages import Ack, Leaving, Ping, PingRequest
+from banyanshelf_core.membership_view import MAX_UPDATES_PER_MESSAGE
+from banyanshelf_core.messages import Ack, Leaving, MemberUpdate, Ping, PingRequest
 from banyanshelf_core.model import Broadcast, Member, Send
 
 TICK_S = 0.1
-MEMBERSHIP = (Ping, Ack, PingRequest, Leaving)
-CONFIGURATION = ("Ping", "Ack", "ConfigNotice", "ConfigFetch", "ConfigText")
+# Turns in the shuffled rounds, suspicion and spreading of the news.
+SETTLE_S = 60.0
 
 
 def text_of(version):
@@ -36,15 +37,13 @@
     """One daemon process; a restart makes a new one with the same id."""
 
     def __init__(self, member, seed, now):
-        self.member_id = member.id
+        self.id = member.id
         self.protocol = MembershipProtocol(member, random.Random(seed), now)
         self.keeper = ConfigurationKeeper(random.Random(seed + 1))
         self.paused_until = 0.0
         self.self_removed = 0
         self.versions = []
-        self.rejected = []
-        self.changes = []
-        self.acted_while_removed = False
+        self.removals = []
 
 
 class SimulatedGroup:
@@ -62,173 +61,258 @@
         self.blocked = lambda sender, receiver: False
         self.store_up = True
         self.version = 0
-        self.sent = []
-        self.ids = [f"gateway-{index}" for index in range(size)]
-        for member_id in self.ids:
-            self.start(member_id)
-        self.read_members()
+        self.update_counts = []
+        self.size = size
+        for each in range(size):
+            self.start(each)
+        members = [each.protocol.identity for each in self.processes.values()]
+        for process in self.processes.values():
+            process.protocol.mark_complete()
+            self._carry_out(process, process.protocol.observe(members, self.now))
 
-    def member(self, member_id):
-        """Return a member with an incarnation of the present time."""
-        incarnation = 1 + int(self.now * 1000)
-        return Member(member_id, f"{member_id}:1", "Huye", incarnation)
+    # Events
 
     def start(self, member_id):
-        """Start a new process."""
-        seed = self.rng.randrange(1 << 30)
-        process = Process(self.member(member_id), seed, self.now)
+        member = Member(member_id, f"{member_id}:1", "Huye", 1 + int(self.now * 1000))
+        process = Process(member, self.rng.randrange(1 << 30), self.now)
         self.processes[member_id] = process
         self.sessions = {pair for pair in self.sessions if member_id not in pair}
-        self.at(self.rng.uniform(0, TICK_S), self.tick, process)
-        if self.store_up:
-            self.read_head(process)
-        return process
-
-    def read_members(self):
-        """Give every process all records, as the store would."""
-        members = [each.protocol.identity for each in self.processes.values()]
-        for process in list(self.processes.values()):
-            process.protocol.mark_complete()
-            self.run(process, process.protocol.observe(members, self.now))
+        self._at(self.rng.uniform(0, TICK_S), self._tick, process)
+        self._show_head(process)
 
     def kill(self, member_id):
-        """End a process without notice."""
         self.processes.pop(member_id, None)
 
     def pause(self, member_id, seconds):
-        """Stop a process for a while; its messages wait."""
         self.processes[member_id].paused_until = self.now + seconds
 
-    def at(self, delay, function, *arguments):
-        """Call a function after a delay."""
-        event = (self.now + delay, next(self.numbers), function, arguments)
-        heapq.heappush(self.events, event)
+    def cut(self, member_id, seconds):
+        self.split({member_id}, seconds)
 
-    def run_for(self, seconds):
-        """Advance the clock."""
+    def split(self, side, seconds):
+        self.blocked = lambda a, b: (a in side) != (b in side)
+        self.run(seconds)
+        self.blocked = lambda a, b: False
+
+    def break_path(self, first, second):
+        self.blocked = lambda a, b: {a, b} == {first, second}
+
+    def leave(self, member_id):
+        process = self.processes[member_id]
+        self._carry_out(process, process.protocol.leave([]))
+
+    def lose(self, percent):
+        self.loss = percent / 100
+        self.latency = (0.001, 0.15) if percent else (0.001, 0.001)
+
+    def store(self, state):
+        self.store_up = state == "up"
+
+    def read_old_record_of(self, member_id):
+        for process in self.processes.values():
+            old = process.protocol.removed_by_id[member_id]
+            self._carry_out(process, process.protocol.observe([old], self.now))
+
+    def random_faults(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            member_id = self.rng.randrange(self.size)
+            is_running = member_id in self.processes
+            fault = self.rng.choice(["kill", "pause", "split", "start", "start"])
+            if fault == "kill" and len(self.processes) > self.size // 2:
+                self.kill(member_id)
+            elif fault == "pause" and is_running:
+                self.pause(member_id, self.rng.uniform(0.2, 8.0))
+            elif fault == "start" and not is_running:
+                self.start(member_id)
+            elif fault == "split":
+                side = set(self.rng.sample(range(self.size), self.size // 3))
+                self.split(side, self.rng.uniform(0.2, 10.0))
+            self.run(self.rng.uniform(0.2, 3.0))
+
+    def apply(self):
+        self.version += 1
+        for process in list(self.processes.values()):
+            self._show_head(process)
+
+    def apply_seen_by(self, member_id):
+        self.version += 1
+        self._give_text(self.processes[member_id], self.version)
+
+    def apply_during_faults(self, count):
+        for _ in range(count):
+            self.store_up = self.rng.random() < 0.6
+            self.apply()
+            self.random_faults(1)
+        self.store_up = True
+        self.apply()
+
+    def restart_all_within(self, seconds):
+        for member_id in range(self.size):
+            self.kill(member_id)
+            self.start(member_id)
+            self.run(seconds / self.size)
+
+    def run(self, seconds):
         end = self.now + seconds
         while self.events and self.events[0][0] <= end:
             self.now, _, function, arguments = heapq.heappop(self.events)
             function(*arguments)
         self.now = end
 
-    def is_current(self, process):
-        """Return whether a process still runs."""
-        return self.processes.get(process.member_id) is process
+    # Checks
+
+    def agreement(self):
+        running = set(self.processes)
+        for process in self.processes.values():
+            assert set(process.protocol.members_by_id) == running, process.id
+
+    def settled_agreement(self):
+        self.run(SETTLE_S)
+        self.agreement()
+
+    def nobody_ever_removed(self):
+        assert not any(each.removals for each in self.processes.values())
+
+    def member_gone(self, member_id):
+        for process in self.processes.values():
+            is_member = member_id in process.protocol.members_by_id
+            assert process.id == member_id or not is_member, process.id
+
+    def member_told(self, member_id):
+        process = self.processes[member_id]
+        assert process.self_removed >= 1
+        assert process.protocol.identity.incarnation > 1
+
+    def roles_kept(self, member_id):
+        assert self.processes[member_id].self_removed == 0
+
+    def news_bounded_and_run_dry(self):
+        assert max(count for _, count in self.update_counts) <= MAX_UPDATES_PER_MESSAGE
+        latest = [count for at, count in self.update_counts if at > self.now - 5.0]
+        assert latest
+        assert sum(latest) == 0, sum(latest)
+
+    def same_outcome_in_any_order(self):
+        updates = [
+            MemberUpdate("visitor", "visitor:1", "Huye", incarnation, status)
+            for incarnation in (1, 2, 3)
+            for status in ("alive", "suspect", "removed", "left")
+        ]
+        outcomes = set()
+        for _ in range(50):
+            self.rng.shuffle(updates)
+            reader = Process(Member("reader", "reader:1", "Huye", 1), 1, 0.0).protocol
+            for update in updates * 2:
+                reader.receive("peer", Ping(1, [update], 0, "", 1), 0.0)
+            outcomes.add((*reader.members_by_id, "removed", *reader.removed_by_id))
+        assert len(outcomes) == 1, outcomes
+
+    def all_have_version(self, version):
+        found = [each.keeper.version for each in self.processes.values()]
+        assert set(found) == {version}, found
+
+    def settled_newest_version(self):
+        self.run(SETTLE_S)
+        self.all_have_version(self.version)
+
+    def no_version_went_back(self):
+        for process in self.processes.values():
+            assert process.versions == sorted(set(process.versions)), process.versions
+
+    # Messages and effects
+
+    def _at(self, delay, function, *arguments):
+        event = (self.now + delay, next(self.numbers), function, arguments)
+        heapq.heappush(self.events, event)
 
-    def tick(self, process):
-        """Run the periodic work of a process."""
-        if not self.is_current(process):
+    def _is_current(self, process):
+        return self.processes.get(process.id) is process
+
+    def _tick(self, process):
+        if not self._is_current(process):
             return
         if process.paused_until > self.now:
-            self.at(process.paused_until - self.now, self.tick, process)
+            self._at(process.paused_until - self.now, self._tick, process)
             return
-        self.run(process, process.protocol.tick(self.now))
-        self.run(process, process.keeper.tick(self.now))
-        self.at(TICK_S, self.tick, process)
+        self._carry_out(process, process.protocol.tick(self.now))
+        self._carry_out(process, process.keeper.tick(self.now))
+        self._at(TICK_S, self._tick, process)
 
-    def send(self, sender, to, message):
-        """Put a message on its way, or lose it."""
-        self.sent.append((self.now, sender, to, message))
+    def _send(self, sender, to, message):
+        if isinstance(message, Ping | PingRequest):
+            self.update_counts.append((self.now, len(message.updates)))
         if self.rng.random() >= self.loss:
-            delay = self.rng.uniform(*self.latency)
-            self.at(delay, self.deliver, sender, to, message)
+            self._at(
+                self.rng.uniform(*self.latency), self._deliver, sender, to, message
+            )
 
-    def deliver(self, sender, to, message):
-        """Hand a message to its receiver."""
+    def _deliver(self, sender, to, message):
         process = self.processes.get(to)
         if process is None or self.blocked(sender, to):
             return
         if process.paused_until > self.now:
             # The kernel keeps the bytes of a stopped process.
-            wait = process.paused_until - self.now
-            self.at(wait + 0.001, self.deliver, sender, to, message)
+            wait = process.paused_until - self.now + 0.001
+            self._at(wait, self._deliver, sender, to, message)
             return
-        self.introduce(sender, process)
-        if isinstance(message, MEMBERSHIP):
-            self.run(process, process.protocol.receive(sender, message, self.now))
+        self._introduce(sender, process)
+        if isinstance(message, Ping | Ack | PingRequest | Leaving):
+            self._carry_out(
+                process, process.protocol.receive(sender, message, self.now)
+            )
         is_removed = sender in process.protocol.removed_by_id
-        if type(message).__name__ in CONFIGURATION and not is_removed:
-            self.run(process, process.keeper.receive(sender, message, self.now))
+        if not isinstance(message, PingRequest | Leaving) and not is_removed:
+            self._carry_out(process, process.keeper.receive(sender, message, self.now))
 
-    def introduce(self, sender, process):
+    def _introduce(self, sender, process):
         """Exchange Hello when a message crosses a new link."""
-        pair = frozenset((sender, process.member_id))
+        pair = frozenset((sender, process.id))
         other = self.processes.get(sender)
         if pair not in self.sessions and other is not None:
             self.sessions.add(pair)
             for here, there in ((process, other), (other, process)):
                 identity = there.protocol.identity
-                self.run(here, here.protocol.on_hello(identity, self.now))
+                self._carry_out(here, here.protocol.on_hello(identity, self.now))
 
-    def run(self, process, effects):
-        """Carry out the effects of a process."""
+    def _carry_out(self, process, effects):
         for effect in effects:
             match effect:
                 case Send(to, message):
-                    self.send(process.member_id, to, message)
+                    self._send(process.id, to, message)
                 case Broadcast(message):
-                    for to in process.protocol.members_by_id:
-                        if to != process.member_id:
-                            self.send(process.member_id, to, message)
+                    for to in set(process.protocol.members_by_id) - {process.id}:
+                        self._send(process.id, to, message)
                 case MembersChanged(_, removed):
-                    process.changes.append(effect)
+                    process.removals.extend(removed)
                     for each in removed:
-                        self.sessions.discard(frozenset((process.member_id, each)))
-                    others = set(process.protocol.members_by_id) - {process.member_id}
-                    self.run(process, process.keeper.set_peers(others, self.now))
+                        self.sessions.discard(frozenset((process.id, each)))
+                    others = set(process.protocol.members_by_id) - {process.id}
+                    self._carry_out(process, process.keeper.set_peers(others, self.now))
                 case SelfRemoved():
                     process.self_removed += 1
                 case Adopted(version, text_digest, _):
                     process.versions.append(version)
                     process.protocol.set_version(version, text_digest)
-                case ReadFromStore(version, text_digest, _):
-                    delay = self.rng.uniform(0.002, 0.01)
-                    self.at(delay, self.read_text, process, version, text_digest)
+                case ReadFromStore(version):
+                    self._at(0.005, self._give_text, process, version)
                 case Rejected():
-                    process.rejected.append(effect)
-
-    # Configuration records
+                    raise AssertionError(effect)
 
-    def apply(self):
-        """Accept the next version in the store; members see it if the store is up."""
-        self.version += 1
-        if self.store_up:
-            for process in list(self.processes.values()):
-                self.read_head(process)
+    def _show_head(self, process):
+        delay = self.rng.uniform(0.001, 0.005)
+        self._at(delay, self._see_head, process, self.version)
 
-    def read_head(self, process):
-        """Let a process see the present head soon."""
-        self.at(self.rng.uniform(0.001, 0.005), self.see_head, process, self.version)
-
-    def see_head(self, process, version):
-        """Give a head to a process if the store is up."""
-        if not self.store_up or not self.is_current(process):
+    def _see_head(self, process, version):
+        if not self.store_up or not self._is_current(process):
             return
         if version:
             head = (version, digest_of(version), 1, self.now)
-            self.run(process, process.keeper.store_head(*head))
+            self._carry_out(process, process.keeper.store_head(*head))
         else:
-            self.run(process, process.keeper.store_empty(self.now))
-
-    def read_text(self, process, version, text_digest):
-        """Give a text to a process if the store is up."""
-        if self.store_up and self.is_current(process):
-            text = (version, text_digest, text_of(version), self.now)
-            self.run(process, process.keeper.store_text(*text))
-
-    # Observations
-
-    def views(self):
-        """Return the live members from each point of view."""
-        return {
-            member_id: set(process.protocol.members_by_id)
-            for member_id, process in self.processes.items()
-        }
-
-    def disagreeing(self):
-        """Return the views that differ from the running processes."""
-        alive = set(self.processes)
-        return {
-            key: alive ^ view for key, view in self.views().items() if view != alive
-        }
+            self._carry_out(process, process.keeper.store_empty(self.now))
+
+    def _give_text(self, process, version):
+        if self.store_up and self._is_current(process):
+            text = (version, digest_of(version), text_of(version), self.now)
+            self._carry_out(process, process.keeper.store_text(*text))
