Remove the repair of differing membership views

Change: Ping has the flag needs_members in place of the digest; only a member that knows nobody else asks for the list.

Conclusion: pings, suspicion and the first Hello repair views by themselves.

--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -14,7 +14,7 @@
         updates=[messages.MemberUpdate("gateway-1", "127.0.0.1:9", "Huye", 3, "alive")],
         config_version=12,
         config_digest="ab",
-        view=5,
+        needs_members=True,
     ),
     "ConfigText": messages.ConfigText(version=2, digest="cd", text="Mahébourg"),
     "Release": messages.Release(
--- a/features/steps/simulated_daemons.py
+++ b/features/steps/simulated_daemons.py
@@ -31,7 +31,7 @@
 
 UPDATE = MemberUpdate("gateway-2", "127.9.0.2:3", "Huye", 5, "alive")
 SAMPLES = [
-    Ping(7, [UPDATE, UPDATE], 3, "ab", 5),
+    Ping(7, [UPDATE, UPDATE], 3, "ab", True),
     Ack(7, "gateway-2", [UPDATE], 3, "ab"),
     PingRequest(7, "gateway-2", [UPDATE]),
     ConfigText(9, "ab", "[services.desk]"),
@@ -136,7 +136,7 @@
         # A stopped process runs no timers; its clock has moved on when it reads again.
         self.reactor.rightNow += seconds
         for handler in self.daemons[number].links._handlers[Ping]:  # noqa: SLF001
-            handler("gateway-2", Ping(1, [], 0, "", 1))
+            handler("gateway-2", Ping(1, [], 0, "", False))
 
     def _raw(self, number, content):
         connector = self.reactor.connectTCP(
@@ -165,7 +165,7 @@
         hello = Hello("intruder", "127.9.0.99:3", "Huye", 1, 1, f"gateway-{number}")
         update = MemberUpdate(*UPDATE.__getstate__()[:3], 2**63 - 1, "suspect")
         peer = self._raw(number, framed(encode(hello)))
-        peer.transport.write(framed(encode(Ping(1, [update], 0, "", 1))))
+        peer.transport.write(framed(encode(Ping(1, [update], 0, "", False))))
         self.run(0.1)
         peer.transport.loseConnection()
 
--- a/features/steps/simulated_group.py
+++ b/features/steps/simulated_group.py
@@ -208,7 +208,7 @@
             self.rng.shuffle(updates)
             reader = Process(Member("reader", "reader:1", "Huye", 1), 1, 0.0).protocol
             for update in updates * 2:
-                reader.receive("peer", Ping(1, [update], 0, "", 1), 0.0)
+                reader.receive("peer", Ping(1, [update], 0, "", False), 0.0)
             outcomes.add((*reader.members_by_id, "removed", *reader.removed_by_id))
         assert len(outcomes) == 1, outcomes
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/membership.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/membership.py
@@ -8,7 +8,6 @@
 
 from banyanshelf_core.membership_view import (
     GONE,
-    MAX_UPDATES_PER_MESSAGE,
     MemberView,
 )
 from banyanshelf_core.messages import (
@@ -120,11 +119,6 @@
         """The live members under suspicion."""
         return self._view.with_status(MemberStatus.SUSPECT)
 
-    @property
-    def view_digest(self) -> int:
-        """Digest of the live members; equal at members that agree."""
-        return self._view.digest
-
     def set_version(self, version: int, digest: str) -> None:
         """Set the configuration version that pings announce."""
         self._version = version
@@ -331,11 +325,8 @@
         self, sender: MemberId, ping: Ping, effects: list[MembershipEffect]
     ) -> None:
         updates = self._view.next_updates(sender)
-        if ping.view not in (0, self._view.digest):
-            room = max(0, MAX_UPDATES_PER_MESSAGE - len(updates))
-            updates += self._view.random_updates(room)
         effects.append(self._ack(sender, ping.sequence, self.identity.id, updates))
-        if ping.view == 0 and sender in self._view.live:
+        if ping.needs_members and sender in self._view.live:
             members = self._view.live_updates()
             for start in range(0, len(members), LIST_CHUNK):
                 chunk = members[start : start + LIST_CHUNK]
@@ -373,8 +364,10 @@
 
     def _ping(self, to: MemberId, sequence: int) -> Send:
         updates = self._view.next_updates(to)
-        view = self._view.digest if self._complete else 0
-        return Send(to, Ping(sequence, updates, self._version, self._digest, view))
+        needs_members = not self._complete
+        return Send(
+            to, Ping(sequence, updates, self._version, self._digest, needs_members)
+        )
 
     def _ack(
         self,
--- a/packages/banyanshelf-core/src/banyanshelf_core/membership_view.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/membership_view.py
@@ -11,8 +11,6 @@
 import random
 from dataclasses import dataclass
 
-import xxhash
-
 from banyanshelf_core.messages import MemberStatus, MemberUpdate
 from banyanshelf_core.model import Member, MemberId
 
@@ -56,16 +54,10 @@
         self._known: dict[MemberId, KnownMember] = {}
         # The few that are not alive, so that a tick does not visit every member.
         self._not_alive: dict[MemberId, KnownMember] = {}
-        self._digest_bits = _digest_bits(identity)
         self._transmissions: dict[MemberId, int] = {identity.id: 0}
         self._joined: set[MemberId] = set()
         self._removed: set[MemberId] = set()
 
-    @property
-    def digest(self) -> int:
-        """Digest of the live members and their incarnations, never 0."""
-        return (self._digest_bits >> 1) or 1
-
     def with_status(self, status: MemberStatus) -> dict[MemberId, Member]:
         """Return the other members that have a status other than alive."""
         return {
@@ -86,7 +78,7 @@
     def set_identity(self, identity: Member) -> None:
         """Take a new incarnation and spread it."""
         self.identity = identity
-        self._set_live(identity.id, identity)
+        self.live[identity.id] = identity
         self.spread(identity.id)
 
     def merge(
@@ -110,7 +102,10 @@
             self._not_alive.pop(member.id, None)
         else:
             self._not_alive[member.id] = state
-        self._set_live(member.id, member if is_live else None)
+        if is_live:
+            self.live[member.id] = member
+        else:
+            self.live.pop(member.id, None)
         if spread:
             self.spread(member.id)
         if is_live and not was_live:
@@ -171,11 +166,6 @@
             self._count_transmission(member_id)
         return updates
 
-    def random_updates(self, count: int) -> list[MemberUpdate]:
-        """Return the states of members chosen at random, gone ones included."""
-        chosen = self._rng.sample(list(self._known), min(count, len(self._known)))
-        return [self._known[each].update() for each in chosen]
-
     def live_updates(self) -> list[MemberUpdate]:
         """Return the states of all live members."""
         updates = [self._update(each) for each in self.live]
@@ -192,15 +182,3 @@
         self._transmissions[member_id] += 1
         if self._transmissions[member_id] >= limit:
             del self._transmissions[member_id]
-
-    def _set_live(self, member_id: MemberId, member: Member | None) -> None:
-        former = self.live.pop(member_id, None)
-        if former is not None:
-            self._digest_bits ^= _digest_bits(former)
-        if member is not None:
-            self.live[member_id] = member
-            self._digest_bits ^= _digest_bits(member)
-
-
-def _digest_bits(member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(f"{member.id}\x00{member.incarnation}".encode())
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -50,15 +50,14 @@
 class Ping:
     """Liveness probe with piggybacked membership updates and the version in force.
 
-    ``view`` is a digest of the live members that the sender knows; 0 asks for the whole
-    list.
+    ``needs_members`` asks for the list of all live members.
     """
 
     sequence: int
     updates: list[MemberUpdate]
     config_version: int
     config_digest: str
-    view: int
+    needs_members: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -42,7 +42,7 @@
   2: optional list<MemberUpdate> updates
   3: optional i64 config_version
   4: optional string config_digest
-  5: optional i64 view
+  5: optional bool needs_members
 }
 
 struct Ack {
