End watches and bodies through a method that their transport has

Cause: a planned stop ended with exit code 1. treq and Agent give body protocols a TransportProxyProducer, which has loseConnection but no abortConnection, so cancelling a watch raised AttributeError.

Change: store_watch and http_json call loseConnection.

Conclusion: a planned stop reaches its end.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_json.py
@@ -50,7 +50,7 @@
         # Aborting may report the end at once, which must not count as a result.
         self.done.errback(CancelledError())
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Collect a piece."""
@@ -58,7 +58,7 @@
         if len(self._content) > self._limit and not self.done.called:
             self.done.errback(ValueError(f"response exceeds {self._limit} bytes"))
             if self.transport is not None:
-                self.transport.abortConnection()
+                self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Report the whole body, or the loss."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
@@ -45,7 +45,7 @@
         # Aborting may report the end at once, which must not count as a result.
         self.done.errback(CancelledError())
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Handle whole lines."""
@@ -60,7 +60,7 @@
             if not self.done.called:
                 self.done.errback(Failure())
             if self.transport is not None:
-                self.transport.abortConnection()
+                self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Report the end of the stream."""
@@ -143,7 +143,7 @@
         if lines is not None and not lines.done.called:
             lines.done.callback(None)
             if lines.transport is not None:
-                lines.transport.abortConnection()
+                lines.transport.loseConnection()
 
     def _on_line(self, line: bytes) -> None:
         answer = msgspec.json.decode(line)
