Drop claim shards after a removal and record outcomes before stopping

Cause: a daemon that learned of its removal kept its shards until a store write failed, and a planned stop could end with outcomes on their way.

Change: the daemon drops its shards when it learns of its removal, and a planned stop waits for every outcome to be recorded, within the drain limit.

Conclusion: both steps are wired; fencing protected the store before.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -99,6 +99,7 @@
         self._listen(self._settings.operator_listen, self._operator_api().site())
         self.network.start()
         self.cluster.on_change(self._adopted)
+        self.cluster.on_self_removed(self.claims.drop_shards)
         self.cluster.start()
         self.directory.start()
         self.coordination.start()
@@ -124,6 +125,7 @@
         yield self._within_limit(self.claims.hand_over())
         yield self._within_limit(self.cluster.leave())
         yield self._within_limit(no_calls)
+        yield self._within_limit(self.claims.drained())
         self.lifecycle.drained()
         yield self._close()
 
