Keep one coordinator per service across random faults

Cause: random faults on a controlled clock showed three faults. A coordinator that had been cut off announced an epoch that all others ignored and never learned of it; a member that gave up the role announced once more to the member that took it, which then waited 1 s; a gateway without a coordinator reused permits that the coordinator had reclaimed.

Change: a holder answers an outdated announcement with its holdings, whose epoch the coordinator then exceeds; the role is given up before messages of the old one go out, and a lost role is taken again after 0.3 s; permits lapse after the call time limit without a coordinator. A seeded scenario checks the slot bounds after each step, and at the end all calls and the ledger.

Conclusion: the bound of twice the slots holds only while the members' views agree; a member removed by mistake ranks its local share among other members. The scenario allows three times the slots then.

--- /dev/null
+++ b/features/steps/permit_faults.py
@@ -0,0 +1,172 @@
+"""Seeded random faults for a permit fleet, and the invariants to check."""
+
+from banyanshelf_core.model import UpstreamState
+
+STEP_S = 0.005
+# A fault has no effect on the counts any more after the membership has noticed it, a
+# new coordinator has collected holdings, and calls of removed members have ended.
+SETTLE_S = 6.0
+REMOVAL_S = 2.0
+
+
+class RandomFaults:
+    """Injects link losses, pauses, kills and upstream changes into a fleet."""
+
+    def __init__(self, fleet, rate, change_spacing_s):
+        self.fleet = fleet
+        self.rng = fleet.rng
+        self.rate = rate
+        self.last_fault = float("-inf")
+        self.change_spacing_s = change_spacing_s
+        self.next_change = 0.0
+        self.views_differ_until = 0.0
+        self.counts = {}
+        self.touched = set()
+
+    def run(self, seconds, fault_rate):
+        """Let calls and faults happen and check the limits after each step."""
+        fleet = self.fleet
+        for _ in range(round(seconds / STEP_S)):
+            fleet.clock.advance(STEP_S)
+            while self.rng.random() < self.rate * STEP_S / (1 + self.rate * STEP_S):
+                self.start_call()
+            if self.rng.random() < fault_rate * STEP_S:
+                self.inject()
+            self.check_limits()
+
+    def start_call(self):
+        """Start a call at a gateway that runs."""
+        usable = [
+            each.id
+            for each in self.fleet.gateways.values()
+            if not each.clock.is_dead and not each.clock.is_paused
+        ]
+        self.fleet.call(
+            self.rng.choice(usable),
+            limit_s=self.rng.choice([0.2, 2.0]),
+            depth=self.rng.randrange(3),
+            caller_service=self.rng.choice(["", "catalogue"]),
+            idempotent=self.rng.random() < 0.5,
+            excluded=frozenset(
+                self.rng.sample(
+                    sorted(self.fleet.upstreams), self.rng.choice([0, 0, 1])
+                )
+            ),
+        )
+
+    def inject(self):
+        """Inject one fault."""
+        faults = [self.lose_link, self.lose_link, self.pause, self.remove, self.leave]
+        fault = self.rng.choice(faults)
+        self.counts[fault.__name__] = self.counts.get(fault.__name__, 0) + 1
+        fault()
+
+    def may_change_members(self):
+        """Whether another change of the members may start, by the chosen spacing."""
+        now = self.fleet.clock.seconds()
+        if now < self.next_change:
+            return False
+        self.next_change = now + self.change_spacing_s
+        return True
+
+    def note(self, lasts_s):
+        """Extend the time in which limits may be exceeded."""
+        self.last_fault = max(self.last_fault, self.fleet.clock.seconds() + lasts_s)
+
+    def lose_link(self):
+        """Cut a link, half of the time one of a coordinator, for up to a second."""
+        fleet = self.fleet
+        first, second = self.rng.sample(sorted(fleet.gateways), 2)
+        coordinators = sorted(fleet.coordinators())
+        if coordinators and self.rng.random() < 0.5 and coordinators[0] != second:
+            first = coordinators[0]
+        lasts = self.rng.uniform(0.002, 1.0)
+        fleet.set_link(first, second, False)
+        fleet.clock.callLater(lasts, fleet.set_link, first, second, True)
+        self.note(lasts)
+
+    def pause(self):
+        """Pause a gateway; a long pause removes it from the members meanwhile."""
+        fleet = self.fleet
+        gateway = fleet.gateways[self.rng.choice(sorted(fleet.gateways))]
+        if gateway.clock.is_paused or gateway.id in self.touched:
+            return
+        lasts = self.rng.choice([0.05, 0.4, 4.0])
+        if lasts > REMOVAL_S and not self.may_change_members():
+            return
+        gateway.clock.is_paused = True
+        fleet.clock.callLater(lasts, gateway.clock.resume)
+        if lasts > REMOVAL_S:
+            self.touched.add(gateway.id)
+            fleet.clock.callLater(REMOVAL_S, self.set_members)
+            fleet.clock.callLater(lasts, self.restore, gateway.id)
+        self.note(lasts)
+
+    def remove(self):
+        """Remove a gateway from the members for a while, as after lost pings."""
+        fleet = self.fleet
+        member_id = self.rng.choice(sorted(fleet.gateways))
+        if member_id in self.touched or not self.may_change_members():
+            return
+        self.touched.add(member_id)
+        self.set_members()
+        lasts = self.rng.uniform(0.1, 1.5)
+        self.views_differ_until = fleet.clock.seconds() + lasts + SETTLE_S
+        fleet.clock.callLater(lasts, self.restore, member_id)
+        self.note(lasts)
+
+    def restore(self, member_id):
+        """Let a removed gateway return with a new incarnation."""
+        self.touched.discard(member_id)
+        self.set_members(renewed={member_id})
+
+    def leave(self):
+        """Mark an upstream as leaving for a while."""
+        fleet = self.fleet
+        upstream = fleet.upstreams[self.rng.choice(sorted(fleet.upstreams))]
+        leaving = upstream._replace(state=UpstreamState.LEAVING)
+        live = upstream._replace(state=UpstreamState.LIVE)
+        fleet.set_upstream(leaving)
+        lasts = self.rng.uniform(0.05, 1.0)
+        fleet.clock.callLater(lasts, fleet.set_upstream, live)
+
+    def set_members(self, renewed=frozenset()):
+        """Show all gateways the members that are not touched by a fault."""
+        fleet = self.fleet
+        fleet.set_members(
+            [each for each in fleet.gateways if each not in self.touched],
+            renewed,
+        )
+
+    def check_limits(self):
+        """Check how many calls run on each upstream."""
+        fleet = self.fleet
+        now = fleet.clock.seconds()
+        is_settled = now > self.last_fault + SETTLE_S
+        # A member removed by mistake ranks its local share among other members.
+        times = 1 if is_settled else 3 if now < self.views_differ_until else 2
+        for upstream_id, running in fleet.running.items():
+            slots = fleet.upstreams[upstream_id].slots
+            limit = times * slots
+            assert running <= limit, (
+                f"{upstream_id} runs {running} calls with {slots} slots at "
+                f"{now:.3f} s; at most {limit} are allowed"
+            )
+
+    def check_ledger(self):
+        """Check that the coordinator counts exactly what the gateways hold."""
+        fleet = self.fleet
+        (coordinator,) = fleet.coordinators().values()
+        total = {}
+        for gateway in fleet.gateways.values():
+            holder = gateway.coordination.holders_by_service["desk"]
+            account = coordinator.ledger.accounts_by_member[gateway.id]
+            held = holder.idle + holder.in_use
+            assert +account.held == +held, (gateway.id, account.held, held)
+            assert not holder.in_use and not len(holder.queue), gateway.id
+            for upstream_id, count in held.items():
+                total[upstream_id] = total.get(upstream_id, 0) + count
+        assert +coordinator.ledger.outstanding == total, (
+            coordinator.ledger.outstanding,
+            total,
+        )
--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -132,6 +132,7 @@
                 upstream_id, "desk", "127.0.0.1:1", f"zone-{number % zones}", slots
             )
         self.session_by_pair = Counter()
+        self.incarnations = Counter()
         self.down = set()
         self.sent = Counter()
         self.running = Counter()
@@ -190,10 +191,13 @@
             for handler in gateway.link_handlers:
                 gateway.clock.fire(handler, (other, is_up))
 
-    def set_members(self, member_ids):
-        """Replace the live members everywhere."""
+    def set_members(self, member_ids, renewed=frozenset()):
+        """Replace the live members; ``renewed`` ones have taken a new incarnation."""
+        self.incarnations.update(renewed)
         self.members = {
-            key: Member(key, "127.0.0.1:1", self.gateways[key].zone, 1)
+            key: Member(
+                key, "127.0.0.1:1", self.gateways[key].zone, 1 + self.incarnations[key]
+            )
             for key in member_ids
         }
         for member_id in member_ids:
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -79,6 +79,8 @@
         self._peak = RecentPeak()
         self._is_linked = False
         self._is_silent = False
+        self._unreachable_since = 0.0
+        self._permit_life_s = settings.time_limit_s
         self._reuse_after_s = 0.0
         self._heard_at = 0.0
         self._reported_at = 0.0
@@ -151,7 +153,7 @@
             # Not counted by any coordinator, so there is nothing to hand back.
             return () if self.is_reachable else self._assign_local(now)
         self._decrease(self.in_use, upstream_id)
-        if is_local or self._must_return(upstream_id):
+        if is_local or self._must_return(now, upstream_id):
             self._give_back(upstream_id)
         elif len(self.queue) and self._may_reuse(now):
             call = self.queue.take(upstream_id)
@@ -172,6 +174,9 @@
         """Take in a coordinator's message; ignores epochs lower than the highest."""
         epoch = Epoch(message.epoch_number, message.epoch_member)
         if epoch < self.epoch:
+            if isinstance(message, CoordinatorAnnounce):
+                # Tells a coordinator that was cut off which epoch it has to exceed.
+                return (self._holdings(message.epoch_member),)
             return ()
         if epoch > self.epoch and not isinstance(message, CoordinatorAnnounce):
             return ()  # Permits of an epoch that is not announced here yet.
@@ -192,6 +197,8 @@
 
     def on_link(self, now: float, *, is_up: bool) -> Sequence[HolderEffect]:
         """Note that the coordinator's link came up or went down."""
+        if self.is_reachable and not is_up:
+            self._unreachable_since = now
         self._is_linked = is_up
         self._is_silent = False
         if is_up:
@@ -228,12 +235,15 @@
                 retry_after = max(SHORTEST_RETRY_AFTER_S, now - call.arrived)
                 effects.append(Refuse(call.call_id, "no permit in time", retry_after))
         if not self.is_reachable:
+            if self._have_permits_lapsed(now):
+                self.drop_idle()
             effects += self._assign_local(now)
             if self._is_silent and now - self._reported_at >= SILENCE_S:
                 effects += self._report(now)  # The coordinator answers if it can.
             return effects
         if self._has_fallen_silent(now):
             self._is_silent = True
+            self._unreachable_since = now
             effects += self._assign_local(now)
             return effects
         excess = self.idle_count + self.in_use_count - self._peak.at(now) - 1
@@ -246,6 +256,10 @@
     def drain(self) -> None:
         """Hand back all idle permits, and those in use when their calls end."""
         self.is_draining = True
+        self.drop_idle()
+
+    def drop_idle(self) -> None:
+        """Hand back all idle permits."""
         for upstream_id in list(self.idle):
             self._return_idle(upstream_id, self.idle[upstream_id])
 
@@ -328,17 +342,18 @@
         self._reported_at = now
         self._recalled.clear()
         self._outbox.restart()
-        return (
-            Send(
-                self.epoch.member_id,
-                Holdings(
-                    self.service_name,
-                    *self.epoch,
-                    slot_counts_of(self.in_use),
-                    slot_counts_of(self.idle),
-                    len(self.queue),
-                    self._outbox.permits_received,
-                ),
+        return (self._holdings(self.epoch.member_id),)
+
+    def _holdings(self, receiver: MemberId) -> Send:
+        return Send(
+            receiver,
+            Holdings(
+                self.service_name,
+                *self.epoch,
+                slot_counts_of(self.in_use),
+                slot_counts_of(self.idle),
+                len(self.queue),
+                self._outbox.permits_received,
             ),
         )
 
@@ -387,12 +402,20 @@
         if marked > 0:
             self._recalled[upstream_id] = marked
 
-    def _must_return(self, upstream_id: UpstreamId) -> bool:
+    def _have_permits_lapsed(self, now: float) -> bool:
+        """Whether a coordinator may have reclaimed this gateway's permits by now."""
+        if self.is_reachable:
+            return False
+        return now - self._unreachable_since >= self._permit_life_s
+
+    def _must_return(self, now: float, upstream_id: UpstreamId) -> bool:
         for marks in (self._single_use, self._recalled):
             if marks and marks[upstream_id] > 0:
                 self._decrease(marks, upstream_id)
                 return True
-        return self.is_draining or not self.local.is_live(upstream_id)
+        if self.is_draining or not self.local.is_live(upstream_id):
+            return True
+        return self._have_permits_lapsed(now)
 
     def _may_reuse(self, now: float) -> bool:
         if not self.is_contended or not self.is_reachable:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -52,7 +52,8 @@
 
 TICK_S = 0.025
 # Two members with different views of the membership would outbid each other at once.
-RETAKE_DELAY_S = 1.0
+# With 1 s, a member that had just come back left the fleet without a coordinator.
+RETAKE_DELAY_S = 0.3
 
 log = Logger("banyanshelf.coordination")
 
@@ -103,6 +104,7 @@
         self._own_messages: deque[PeerMessage] = deque()
         self._is_routing = False
         self._is_flush_scheduled = False
+        self._highest_number_by_service: dict[ServiceName, int] = {}
         self._retake_at_by_service: dict[ServiceName, float] = {}
         self._leaving_by_member: dict[MemberId, int] = {}
         self._removed_at_by_member: dict[MemberId, float] = {}
@@ -286,16 +288,18 @@
         if own and own_before and own.incarnation != own_before.incarnation:
             # The others have removed this member and may have chosen a coordinator.
             self.coordinators_by_service.clear()
+        self._retake_at_by_service.clear()
         for service_name, holder in self.holders_by_service.items():
             holder.local.set_members(members)
             coordinator_id = holder.epoch.member_id
             if coordinator_id and coordinator_id not in members:
                 self._route(service_name, holder.on_link(now, is_up=False))
+            # First, so that a member that gives up the role announces nothing.
+            self._take_or_drop_role(now, service_name)
             coordinator = self.coordinators_by_service.get(service_name)
             if coordinator is not None:
                 zones = {each.id: each.zone for each in members.values()}
                 self._route(service_name, coordinator.set_members(now, zones))
-            self._take_or_drop_role(now, service_name)
 
     def _first_ranked(self, service_name: ServiceName) -> MemberId | None:
         members = self._known_members
@@ -318,7 +322,9 @@
         if now < self._retake_at_by_service.get(service_name, 0.0):
             return
         holder = self.holders_by_service[service_name]
-        epoch = Epoch(holder.epoch.number + 1, self._member_id)
+        highest = self._highest_number_by_service.get(service_name, 0)
+        number = max(holder.epoch.number, highest) + 1
+        epoch = Epoch(number, self._member_id)
         settings = self._coordinator_settings(service_name)
         removed = {
             member_id: removed_at
@@ -374,6 +380,12 @@
         if coordinator is None:
             return
         now = self._reactor.seconds()
+        if (message.epoch_number, message.epoch_member) > coordinator.epoch:
+            # Another member coordinated while this one was cut off.
+            self._highest_number_by_service[message.service_name] = message.epoch_number
+            del self.coordinators_by_service[message.service_name]
+            self._take_or_drop_role(now, message.service_name)
+            return
         effects = coordinator.on_message(now, sender, message)
         self._route(message.service_name, effects)
 
