--- a/features/steps/permit_faults.py
+++ b/features/steps/permit_faults.py
@@ -161,9 +161,9 @@
         for gateway in fleet.gateways.values():
             holder = gateway.coordination.holders_by_service["desk"]
             account = coordinator.ledger.accounts_by_member[gateway.id]
-            held = holder.idle + holder.in_use
+            held = holder.counts.idle + holder.counts.in_use
             assert +account.held == +held, (gateway.id, account.held, held)
-            assert not holder.in_use and not len(holder.queue), gateway.id
+            assert not holder.counts.in_use and not len(holder.queue), gateway.id
             for upstream_id, count in held.items():
                 total[upstream_id] = total.get(upstream_id, 0) + count
         assert +coordinator.ledger.outstanding == total, (
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
@@ -24,26 +24,18 @@
     UpstreamId,
 )
 from banyanshelf_core.permits.effects import CoordinatorEffect, Probe
+from banyanshelf_core.permits.granting import Granting
 from banyanshelf_core.permits.ledger import (
     Account,
     Ledger,
     counts_of,
-    slot_counts_of,
 )
 from banyanshelf_core.permits.local_share import local_share
-from banyanshelf_core.permits.recalls import Recalls
-from banyanshelf_core.permits.slot_choice import REUSABLE, SlotChoice
+from banyanshelf_core.permits.slot_choice import SlotChoice
 from banyanshelf_core.probe_budget import ProbeBudget
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 COLLECT_S = 0.3
-# Contention that comes and goes within this time would make gateways hand back and
-# fetch idle permits in turn.
-CONTENTION_HOLD_S = 0.1
-# Gateways with waiting calls take a longer silence for an unreachable coordinator.
-KEEPALIVE_S = 0.1
-# Part of the usable slots that is not handed out as spare permits.
-SPARE_RESERVE = 0.1
 
 
 class CoordinatorSettings(NamedTuple):
@@ -83,10 +75,11 @@
         self.ledger = Ledger()
         self._zones_by_member = dict(zones_by_member)
         self._choice = SlotChoice(rng, self.health, self.ledger.outstanding)
-        self._recalls = Recalls(service_name, epoch, self.ledger)
+        self._granting = Granting(
+            service_name, epoch, self.ledger, self._choice, self._zones_by_member
+        )
         self._probes_by_id: dict[UpstreamId, float] = {}
         self._collecting_until: float | None = now + COLLECT_S
-        self._contended_until = 0.0
         for member_id in zones_by_member:
             self.ledger.accounts_by_member[member_id] = Account()
         self.health.set_upstreams(now, upstreams_by_id)
@@ -134,9 +127,7 @@
                 effects = self._recall_excess(now, changed) + self._serve(now)
                 if account.last_sent < now:
                     # A gateway that took this coordinator for silent needs an answer.
-                    effects.append(
-                        self._grant_message(now, sender, account, Counter(), REUSABLE)
-                    )
+                    effects.append(self._granting.refresh(now, sender, account))
                 return effects
         return self._serve(now)
 
@@ -186,6 +177,7 @@
                 accounts[member_id] = Account()
                 effects.append(Send(member_id, self._announce()))
         self._zones_by_member = dict(zones_by_member)
+        self._granting.zones_by_member = self._zones_by_member
         self._end_collecting_if_complete(now)
         return effects + self._serve(now)
 
@@ -228,14 +220,7 @@
         self.health.refresh(now)
         effects += self._readmit(now)
         self._choice.rebuild(now)
-        effects += self._serve(now)
-        for member_id, account in self.ledger.accounts_by_member.items():
-            is_due = account.arrivals and now - account.last_sent >= KEEPALIVE_S
-            if is_due and account.linked:
-                effects.append(
-                    self._grant_message(now, member_id, account, Counter(), REUSABLE)
-                )
-        return effects
+        return effects + self._serve(now) + self._granting.refresh_waiting(now)
 
     def waiting_count(self) -> int:
         """Return how many calls wait at all gateways."""
@@ -249,9 +234,12 @@
         effects: list[CoordinatorEffect] = []
         for upstream_id in upstream_ids:
             limit = self.health.limit(now, upstream_id)
-            effects += self._recalls.above(upstream_id, limit)
+            effects += self._granting.recalls.above(upstream_id, limit)
         return effects
 
+    def _serve(self, now: float) -> list[CoordinatorEffect]:
+        return [] if self.is_collecting else self._granting.serve(now)
+
     def _announce(self) -> CoordinatorAnnounce:
         return CoordinatorAnnounce(self.service_name, *self.epoch)
 
@@ -270,7 +258,7 @@
                 now, sample.upstream, sample.service_time_us, sample.kind
             )
             if is_worse:
-                effects += self._recalls.above(sample.upstream, 0)
+                effects += self._granting.recalls.above(sample.upstream, 0)
             self._choice.update(now, sample.upstream)
         return effects
 
@@ -311,106 +299,3 @@
                 self.ledger.outstanding[upstream_id] += 1
                 effects.append(Probe(upstream_id))
         return effects
-
-    def _serve(self, now: float) -> list[CoordinatorEffect]:
-        if self._collecting_until is not None:
-            return []
-        open_accounts = {
-            member_id: account
-            for member_id, account in self.ledger.accounts_by_member.items()
-            if account.reported and account.linked
-        }
-        waiting = {
-            member_id: account
-            for member_id, account in open_accounts.items()
-            if account.arrivals
-        }
-        queue_length = sum(len(each.arrivals) for each in waiting.values())
-        grants: dict[tuple[MemberId, str], Counter[UpstreamId]] = {}
-        while waiting:
-            member_id = min(waiting, key=lambda each: waiting[each].arrivals[0])
-            account = waiting[member_id]
-            picked = self._choice.pick(
-                now,
-                self._zones_by_member[member_id],
-                account.excluded,
-                queue_length,
-            )
-            if picked is None:
-                del waiting[member_id]
-                continue
-            upstream_id, terms = picked
-            account.arrivals.popleft()
-            queue_length -= 1
-            if not account.arrivals:
-                del waiting[member_id]
-            self._record(now, grants, member_id, upstream_id, terms)
-        effects: list[CoordinatorEffect] = []
-        if queue_length:
-            self._contended_until = now + CONTENTION_HOLD_S
-            effects += self._recalls.idle(open_accounts)
-        elif now >= self._contended_until:
-            self._serve_spare(now, open_accounts, grants)
-        for (member_id, terms), counts in grants.items():
-            account = open_accounts[member_id]
-            effects.append(self._grant_message(now, member_id, account, counts, terms))
-        return effects
-
-    def _serve_spare(
-        self,
-        now: float,
-        accounts: Mapping[MemberId, Account],
-        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
-    ) -> None:
-        for member_id, account in accounts.items():
-            while account.spare > 0 and self._choice.has_reserve(SPARE_RESERVE):
-                zone = self._zones_by_member[member_id]
-                upstream_id = self._choice.pick_fast(zone, account.excluded)
-                if upstream_id is None:
-                    break
-                account.spare -= 1
-                self._record(now, grants, member_id, upstream_id, REUSABLE)
-            account.spare = 0
-
-    def _record(
-        self,
-        now: float,
-        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
-        member_id: MemberId,
-        upstream_id: UpstreamId,
-        terms: str,
-    ) -> None:
-        self.ledger.grant(member_id, upstream_id)
-        self._choice.update(now, upstream_id)
-        grants.setdefault((member_id, terms), Counter())[upstream_id] += 1
-
-    def _grant_message(
-        self,
-        now: float,
-        member_id: MemberId,
-        account: Account,
-        counts: Counter[UpstreamId],
-        terms: str,
-    ) -> Send:
-        account.last_sent = now
-        oldest = min(
-            (
-                each.arrivals[0]
-                for each in self.ledger.accounts_by_member.values()
-                if each.arrivals
-            ),
-            default=now,
-        )
-        is_contended = now < self._contended_until
-        account.told_contended = is_contended
-        return Send(
-            member_id,
-            Grant(
-                self.service_name,
-                *self.epoch,
-                slot_counts_of(counts),
-                int((now - oldest) * 1e6),
-                is_contended,
-                terms,
-            ),
-        )
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/granting.py
@@ -0,0 +1,157 @@
+"""Hands out free slots to waiting gateways."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+from banyanshelf_core.messages import Grant
+from banyanshelf_core.model import Epoch, MemberId, Send, ServiceName, UpstreamId
+from banyanshelf_core.permits.effects import CoordinatorEffect
+from banyanshelf_core.permits.ledger import Account, Ledger, slot_counts_of
+from banyanshelf_core.permits.recalls import Recalls
+from banyanshelf_core.permits.slot_choice import REUSABLE, SlotChoice
+
+# Contention that comes and goes within this time would make gateways hand back and
+# fetch idle permits in turn.
+CONTENTION_HOLD_S = 0.1
+# Gateways with waiting calls take a longer silence for an unreachable coordinator.
+KEEPALIVE_S = 0.1
+# Part of the upstreams whose free slots are not handed out as spare permits.
+SPARE_RESERVE = 0.1
+
+
+class Granting:
+    """Grants of one coordinator: the oldest waiting call first."""
+
+    def __init__(
+        self,
+        service_name: ServiceName,
+        epoch: Epoch,
+        ledger: Ledger,
+        choice: SlotChoice,
+        zones_by_member: Mapping[MemberId, str],
+    ) -> None:
+        self._service_name = service_name
+        self._epoch = epoch
+        self._ledger = ledger
+        self._choice = choice
+        self._contended_until = 0.0
+        self.zones_by_member = zones_by_member
+        self.recalls = Recalls(service_name, epoch, ledger)
+
+    def refresh(self, now: float, member_id: MemberId, account: Account) -> Send:
+        """Return a message without permits that tells the oldest waiter's age."""
+        return self._grant_message(now, member_id, account, Counter(), REUSABLE)
+
+    def refresh_waiting(self, now: float) -> list[CoordinatorEffect]:
+        """Return refreshes for waiting gateways that have heard nothing for a while."""
+        return [
+            self.refresh(now, member_id, account)
+            for member_id, account in self._ledger.accounts_by_member.items()
+            if account.arrivals
+            and account.linked
+            and now - account.last_sent >= KEEPALIVE_S
+        ]
+
+    def serve(self, now: float) -> list[CoordinatorEffect]:
+        """Grant free slots to waiting calls, then to requests for spare permits."""
+        open_accounts = {
+            member_id: account
+            for member_id, account in self._ledger.accounts_by_member.items()
+            if account.reported and account.linked
+        }
+        waiting = {
+            member_id: account
+            for member_id, account in open_accounts.items()
+            if account.arrivals
+        }
+        queue_length = sum(len(each.arrivals) for each in waiting.values())
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]] = {}
+        while waiting:
+            member_id = min(waiting, key=lambda each: waiting[each].arrivals[0])
+            account = waiting[member_id]
+            picked = self._choice.pick(
+                now,
+                self.zones_by_member[member_id],
+                account.excluded,
+                queue_length,
+            )
+            if picked is None:
+                del waiting[member_id]
+                continue
+            upstream_id, terms = picked
+            account.arrivals.popleft()
+            queue_length -= 1
+            if not account.arrivals:
+                del waiting[member_id]
+            self._record(now, grants, member_id, upstream_id, terms)
+        effects: list[CoordinatorEffect] = []
+        if queue_length:
+            self._contended_until = now + CONTENTION_HOLD_S
+            effects += self.recalls.idle(open_accounts)
+        elif now >= self._contended_until:
+            self._serve_spare(now, open_accounts, grants)
+        for (member_id, terms), counts in grants.items():
+            account = open_accounts[member_id]
+            effects.append(self._grant_message(now, member_id, account, counts, terms))
+        return effects
+
+    def _serve_spare(
+        self,
+        now: float,
+        accounts: Mapping[MemberId, Account],
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
+    ) -> None:
+        for member_id, account in accounts.items():
+            while account.spare > 0 and self._choice.has_reserve(SPARE_RESERVE):
+                zone = self.zones_by_member[member_id]
+                upstream_id = self._choice.pick_fast(zone, account.excluded)
+                if upstream_id is None:
+                    break
+                account.spare -= 1
+                self._record(now, grants, member_id, upstream_id, REUSABLE)
+            account.spare = 0
+
+    def _record(
+        self,
+        now: float,
+        grants: dict[tuple[MemberId, str], Counter[UpstreamId]],
+        member_id: MemberId,
+        upstream_id: UpstreamId,
+        terms: str,
+    ) -> None:
+        self._ledger.grant(member_id, upstream_id)
+        self._choice.update(now, upstream_id)
+        grants.setdefault((member_id, terms), Counter())[upstream_id] += 1
+
+    def _grant_message(
+        self,
+        now: float,
+        member_id: MemberId,
+        account: Account,
+        counts: Counter[UpstreamId],
+        terms: str,
+    ) -> Send:
+        account.last_sent = now
+        oldest = min(
+            (
+                each.arrivals[0]
+                for each in self._ledger.accounts_by_member.values()
+                if each.arrivals
+            ),
+            default=now,
+        )
+        is_contended = now < self._contended_until
+        account.told_contended = is_contended
+        return Send(
+            member_id,
+            Grant(
+                self._service_name,
+                *self._epoch,
+                slot_counts_of(counts),
+                int((now - oldest) * 1e6),
+                is_contended,
+                terms,
+            ),
+        )
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -26,15 +25,15 @@
     Upstream,
     UpstreamId,
 )
-from banyanshelf_core.permits.demand import RecentPeak
 from banyanshelf_core.permits.effects import Assign, HolderEffect, Refuse
 from banyanshelf_core.permits.ledger import slot_counts_of
 from banyanshelf_core.permits.local_choice import LocalChoice
 from banyanshelf_core.permits.outbox import Outbox
+from banyanshelf_core.permits.permit_counts import PermitCounts
+from banyanshelf_core.permits.reach import CoordinatorReach
+from banyanshelf_core.permits.return_marks import ReturnMarks
 from banyanshelf_core.upstream_health import UpstreamHealth
 
-# A coordinator with waiting calls on record sends something every 100 ms.
-SILENCE_S = 0.3
 SHORTEST_RETRY_AFTER_S = 0.1
 
 
@@ -66,44 +65,38 @@
         self.member_id, self.zone = member
         self.epoch = NO_EPOCH
         self.queue = AdmissionQueue(settings.queue_limit, settings.caller_weights)
-        self.idle: Counter[UpstreamId] = Counter()
-        self.in_use: Counter[UpstreamId] = Counter()
-        self.idle_count = 0
-        self.in_use_count = 0
+        self.counts = PermitCounts()
         self.is_contended = False
         self.is_draining = False
         self._health = UpstreamHealth(
             settings.time_limit_s, settings.ramp_s, settings.eject_after_failures
         )
         self.local = LocalChoice(rng, member, self._health)
-        self._peak = RecentPeak()
-        self._is_linked = False
-        self._is_silent = False
-        self._unreachable_since = 0.0
-        self._permit_life_s = settings.time_limit_s
+        self._reach = CoordinatorReach(settings.time_limit_s)
         self._reuse_after_s = 0.0
-        self._heard_at = 0.0
-        self._reported_at = 0.0
         self._waiting_since = 0.0
         self._outbox = Outbox(service_name)
-        self._recalled: Counter[UpstreamId] = Counter()
-        self._single_use: Counter[UpstreamId] = Counter()
+        self._marks = ReturnMarks()
 
     @property
     def is_reachable(self) -> bool:
         """Whether the coordinator can be asked; the local share is used otherwise."""
-        return self._is_linked and not self._is_silent
+        return self._reach.is_reachable
 
     def acquire(
         self, now: float, call: WaitingCall, *, only_idle: bool = False
     ) -> Sequence[HolderEffect]:
         """Assign an idle permit to a call, queue the call, or refuse it."""
-        if self.idle_count:
-            upstream_id = self.local.pick_idle(self.idle, call.excluded)
+        if self.counts.idle_total and self._reach.have_permits_lapsed(now):
+            self.drop_idle()
+        if self.counts.idle_total:
+            upstream_id = self.local.pick_idle(self.counts.idle, call.excluded)
             if upstream_id is not None:
-                candidates = len(self.idle)
-                self._take_idle(upstream_id)
-                if not (self.idle_count or self.is_contended or self.is_draining):
+                candidates = len(self.counts.idle)
+                self.counts.take_idle(upstream_id)
+                if not (
+                    self.counts.idle_total or self.is_contended or self.is_draining
+                ):
                     self._outbox.ask_spare(now)
                 return (
                     self._assign(now, call, upstream_id, "idle permit", candidates),
@@ -122,7 +115,7 @@
             effects.append(Refuse(shed.call_id, "queue full", retry_after))
         if len(self.queue) == 1:
             self._waiting_since = now
-        if self.is_reachable:
+        if self._reach.is_reachable:
             self._outbox.wants_flush = True
         else:
             effects += self._assign_local(now)
@@ -146,13 +139,13 @@
     ) -> Sequence[HolderEffect]:
         """Take back the permit of a call that has ended."""
         self.queue.in_use_by_caller[caller_service] -= 1
-        self.in_use_count -= 1
+        self.counts.calls -= 1
         self.local.take_sample(now, sample)
         self._outbox.add_sample(now, sample)
         if is_local and self.local.end_call(upstream_id):
             # Not counted by any coordinator, so there is nothing to hand back.
-            return () if self.is_reachable else self._assign_local(now)
-        self._decrease(self.in_use, upstream_id)
+            return () if self._reach.is_reachable else self._assign_local(now)
+        self.counts.end_permit(upstream_id)
         if is_local or self._must_return(now, upstream_id):
             self._give_back(upstream_id)
         elif len(self.queue) and self._may_reuse(now):
@@ -164,7 +157,7 @@
             self._give_back(upstream_id)
         else:
             self._keep_or_return(now, upstream_id)
-        if not self.is_reachable and len(self.queue):
+        if not self._reach.is_reachable and len(self.queue):
             return self._assign_local(now)
         return ()
 
@@ -180,29 +173,21 @@
             return ()
         if epoch > self.epoch and not isinstance(message, CoordinatorAnnounce):
             return ()  # Permits of an epoch that is not announced here yet.
-        self._heard_at = now
-        reports: Sequence[HolderEffect] = ()
+        if isinstance(message, CoordinatorAnnounce):
+            return self._on_announce(now, epoch)
+        ended_silence = self._reach.note_heard(now)
+        effects: Sequence[HolderEffect] = ()
         match message:
-            case CoordinatorAnnounce():
-                self._is_silent = False
-                return self._on_announce(now, epoch)
             case Grant():
-                reports = self._on_grant(now, message)
+                effects = self._on_grant(now, message)
             case Recall():
                 self._on_recall(message)
-        if self._is_silent:
-            self._is_silent = False
-            reports = (*reports, *self._report(now))
-        return reports
+        return (*effects, *self._report(now)) if ended_silence else effects
 
     def on_link(self, now: float, *, is_up: bool) -> Sequence[HolderEffect]:
         """Note that the coordinator's link came up or went down."""
-        if self.is_reachable and not is_up:
-            self._unreachable_since = now
-        self._is_linked = is_up
-        self._is_silent = False
+        self._reach.set_link(now, is_up=is_up)
         if is_up:
-            self._heard_at = now
             return self._report(now)
         return self._assign_local(now)
 
@@ -211,9 +196,9 @@
     ) -> Sequence[HolderEffect]:
         """Take over the upstreams; idle permits of leaving ones are handed back."""
         self.local.set_upstreams(now, upstreams_by_id)
-        for upstream_id in list(self.idle):
+        for upstream_id in list(self.counts.idle):
             if not self.local.is_live(upstream_id):
-                self._return_idle(upstream_id, self.idle[upstream_id])
+                self._return_idle(upstream_id, self.counts.idle[upstream_id])
         effects: list[HolderEffect] = []
         for call in self.queue:
             if not self.local.has_candidate(call.excluded):
@@ -221,7 +206,7 @@
                 effects.append(
                     Refuse(call.call_id, "no upstream left for this call", 1.0)
                 )
-        if not self.is_reachable:
+        if not self._reach.is_reachable:
             effects += self._assign_local(now)
         return effects
 
@@ -234,21 +219,17 @@
                 self.cancel(now, call.call_id)
                 retry_after = max(SHORTEST_RETRY_AFTER_S, now - call.arrived)
                 effects.append(Refuse(call.call_id, "no permit in time", retry_after))
-        if not self.is_reachable:
-            if self._have_permits_lapsed(now):
+        self._reach.tick(now, self._waiting_since if len(self.queue) else None)
+        if not self._reach.is_reachable:
+            if self._reach.have_permits_lapsed(now):
                 self.drop_idle()
             effects += self._assign_local(now)
-            if self._is_silent and now - self._reported_at >= SILENCE_S:
-                effects += self._report(now)  # The coordinator answers if it can.
+            if self._reach.may_inquire(now):
+                effects += self._report(now)
             return effects
-        if self._has_fallen_silent(now):
-            self._is_silent = True
-            self._unreachable_since = now
-            effects += self._assign_local(now)
-            return effects
-        excess = self.idle_count + self.in_use_count - self._peak.at(now) - 1
-        while excess > 0 and self.idle_count:
-            self._return_idle(next(iter(self.idle)), 1)
+        excess = self.counts.excess(now)
+        while excess > 0 and self.counts.idle_total:
+            self._return_idle(next(iter(self.counts.idle)), 1)
             excess -= 1
         self._outbox.tick(now)
         return effects
@@ -260,8 +241,8 @@
 
     def drop_idle(self) -> None:
         """Hand back all idle permits."""
-        for upstream_id in list(self.idle):
-            self._return_idle(upstream_id, self.idle[upstream_id])
+        for upstream_id in list(self.counts.idle):
+            self._return_idle(upstream_id, self.counts.idle[upstream_id])
 
     @property
     def wants_flush(self) -> bool:
@@ -270,7 +251,7 @@
 
     def flush(self, now: float) -> Sequence[Send]:
         """Return the message that collects all changes since the last one."""
-        if not self.is_reachable:
+        if not self._reach.is_reachable:
             self._outbox.wants_flush = False
             return ()
         message = self._outbox.flush(now, self.epoch, self.queue)
@@ -287,40 +268,29 @@
         is_local: bool = False,
     ) -> Assign:
         self.queue.in_use_by_caller[call.caller_service] += 1
-        self.in_use_count += 1
-        self._peak.note(now, self.in_use_count)
+        self.counts.start_call(now, None if is_local else upstream_id)
         if is_local:
             self.local.start_call(upstream_id)
-        else:
-            self.in_use[upstream_id] += 1
         epoch_number = 0 if is_local else self.epoch.number
         return Assign(call.call_id, upstream_id, epoch_number, reason, candidates)
 
     def _assign_local(self, now: float) -> list[HolderEffect]:
         """Assign waiting calls to idle permits and the local share."""
         effects: list[HolderEffect] = []
-        for upstream_id in list(self.idle):
-            while self.idle[upstream_id] > 0:
+        for upstream_id in list(self.counts.idle):
+            while self.counts.idle[upstream_id] > 0:
                 call = self.queue.take(upstream_id)
                 if call is None:
                     break
-                self._take_idle(upstream_id)
+                self.counts.take_idle(upstream_id)
                 effects.append(self._assign(now, call, upstream_id, "idle permit", 1))
-        if not len(self.queue) or self.is_draining:
-            return effects
-        shared = self.local.shared_upstreams(now)
+        shared = self.local.shared_upstreams(now) if len(self.queue) else []
         for upstream_id in shared:
             call = self.queue.take(upstream_id)
             if call is not None:
+                reason, places = "local share", len(shared)
                 effects.append(
-                    self._assign(
-                        now,
-                        call,
-                        upstream_id,
-                        "local share",
-                        len(shared),
-                        is_local=True,
-                    )
+                    self._assign(now, call, upstream_id, reason, places, is_local=True)
                 )
         return effects
 
@@ -330,7 +300,7 @@
             self._outbox.permits_received = 0
             self.is_contended = False
             self._reuse_after_s = 0.0
-        self._is_linked = True
+        self._reach.set_link(now, is_up=True)
         return self._report(now)
 
     def _report(self, now: float) -> Sequence[HolderEffect]:
@@ -338,9 +308,9 @@
         if self.epoch == NO_EPOCH:
             return ()
         for upstream_id, count in self.local.count_calls().items():
-            self.in_use[upstream_id] += count
-        self._reported_at = now
-        self._recalled.clear()
+            self.counts.in_use[upstream_id] += count
+        self._reach.note_inquiry(now)
+        self._marks.forget_recalls()
         self._outbox.restart()
         return (self._holdings(self.epoch.member_id),)
 
@@ -350,8 +320,8 @@
             Holdings(
                 self.service_name,
                 *self.epoch,
-                slot_counts_of(self.in_use),
-                slot_counts_of(self.idle),
+                slot_counts_of(self.counts.in_use),
+                slot_counts_of(self.counts.idle),
                 len(self.queue),
                 self._outbox.permits_received,
             ),
@@ -375,12 +345,12 @@
                 if call is not None:
                     effects.append(self._assign(now, call, upstream_id, "granted", 1))
                     if terms != GrantTerms.REUSABLE:
-                        self._single_use[upstream_id] += 1
+                        self._marks.add_single_use(upstream_id)
                 elif terms == GrantTerms.REUSABLE and not len(self.queue):
                     self._keep_or_return(now, upstream_id)
                 else:
                     self._give_back(upstream_id)
-        if self.idle_count:
+        if self.counts.idle_total:
             self._outbox.note_spare_received()
         return effects
 
@@ -388,60 +358,43 @@
         if not message.upstream:
             self.is_contended = True
             left = message.count
-            for upstream_id in list(self.idle):
-                count = min(left, self.idle[upstream_id])
+            for upstream_id in list(self.counts.idle):
+                count = min(left, self.counts.idle[upstream_id])
                 self._return_idle(upstream_id, count)
                 left -= count
             return
         upstream_id = message.upstream
-        count = min(message.count, self.idle[upstream_id])
+        count = min(message.count, self.counts.idle[upstream_id])
         self._return_idle(upstream_id, count)
-        # Permits for single use go back in any case.
-        most = self.in_use[upstream_id] - self._single_use[upstream_id]
-        marked = min(most, self._recalled[upstream_id] + message.count - count)
-        if marked > 0:
-            self._recalled[upstream_id] = marked
-
-    def _have_permits_lapsed(self, now: float) -> bool:
-        """Whether a coordinator may have reclaimed this gateway's permits by now."""
-        if self.is_reachable:
-            return False
-        return now - self._unreachable_since >= self._permit_life_s
+        left = message.count - count
+        self._marks.recall(upstream_id, left, self.counts.in_use[upstream_id])
 
     def _must_return(self, now: float, upstream_id: UpstreamId) -> bool:
-        for marks in (self._single_use, self._recalled):
-            if marks and marks[upstream_id] > 0:
-                self._decrease(marks, upstream_id)
-                return True
+        if self._marks.take(upstream_id):
+            return True
         if self.is_draining or not self.local.is_live(upstream_id):
             return True
-        return self._have_permits_lapsed(now)
+        return self._reach.have_permits_lapsed(now)
 
     def _may_reuse(self, now: float) -> bool:
-        if not self.is_contended or not self.is_reachable:
+        if not self.is_contended or not self._reach.is_reachable:
             return True
         oldest = self.queue.oldest_arrival()
         return oldest is not None and now - oldest >= self._reuse_after_s
 
     def _keep_or_return(self, now: float, upstream_id: UpstreamId) -> None:
-        held = self.in_use_count + self.idle_count
-        is_wanted = not self.is_contended and held <= self._peak.at(now)
-        if (is_wanted or not self.is_reachable) and not self.is_draining:
-            self.idle[upstream_id] += 1
-            self.idle_count += 1
+        is_wanted = not self.is_contended and self.counts.is_wanted(now)
+        if (is_wanted or not self._reach.is_reachable) and not self.is_draining:
+            self.counts.add_idle(upstream_id)
         else:
             self._give_back(upstream_id)
 
     def _give_back(self, upstream_id: UpstreamId) -> None:
         self._outbox.give_back(upstream_id)
 
-    def _take_idle(self, upstream_id: UpstreamId) -> None:
-        self.idle_count -= 1
-        self._decrease(self.idle, upstream_id)
-
     def _return_idle(self, upstream_id: UpstreamId, count: int) -> None:
         for _ in range(count):
-            self._take_idle(upstream_id)
+            self.counts.take_idle(upstream_id)
             self._give_back(upstream_id)
 
     def _expected_wait_s(self, depth: int) -> float:
@@ -449,16 +402,4 @@
         ahead = self.queue.ahead_of(depth)
         if not ahead:
             return 0.0
-        return ahead * self.local.mean_service_s() / max(1, self.in_use_count)
-
-    def _has_fallen_silent(self, now: float) -> bool:
-        if not len(self.queue):
-            return False
-        return now - max(self._heard_at, self._waiting_since) >= SILENCE_S
-
-    @staticmethod
-    def _decrease(counts: Counter[UpstreamId], upstream_id: UpstreamId) -> None:
-        if counts[upstream_id] > 1:
-            counts[upstream_id] -= 1
-        else:
-            del counts[upstream_id]
+        return ahead * self.local.mean_service_s() / max(1, self.counts.calls)
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/local_choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/local_choice.py
@@ -23,7 +23,7 @@
     ) -> None:
         self._rng = rng
         self._member_id, self._zone = member
-        self._health = health
+        self.health = health
         self._members: frozenset[MemberId] = frozenset({self._member_id})
         self._upstreams_by_id: Mapping[UpstreamId, Upstream] = {}
         self._live: frozenset[UpstreamId] = frozenset()
@@ -48,7 +48,7 @@
             if upstream.state == UpstreamState.LIVE
         )
         self._shares = None
-        self._health.set_upstreams(now, upstreams_by_id)
+        self.health.set_upstreams(now, upstreams_by_id)
 
     def is_live(self, upstream_id: UpstreamId) -> bool:
         """Whether an upstream may receive new work."""
@@ -68,18 +68,18 @@
 
     def take_sample(self, now: float, sample: AnswerSample) -> None:
         """Take in how an attempt ended."""
-        self._health.record(now, sample.upstream, sample.service_time_us, sample.kind)
+        self.health.record(now, sample.upstream, sample.service_time_us, sample.kind)
 
     def mean_service_s(self) -> float:
         """Return the mean service time of the upstreams that are not slow."""
-        return self._health.fast_mean_us / 1e6
+        return self.health.fast_mean_us / 1e6
 
     def refresh(self, now: float) -> None:
         """Recompute averages and readmit upstreams whose ejection is over."""
-        for upstream_id, record in self._health.records_by_id.items():
+        for upstream_id, record in self.health.records_by_id.items():
             if record.ejected_until is not None and now >= record.ejected_until:
-                self._health.readmit(now, upstream_id, probed=False)
-        self._health.refresh(now)
+                self.health.readmit(now, upstream_id, probed=False)
+        self.health.refresh(now)
 
     def pick_idle(
         self, idle: Counter[UpstreamId], excluded: Collection[UpstreamId]
@@ -116,9 +116,9 @@
             for each in self._shares
             if not self._uncounted[each]
             and not self._counted[each]
-            and self._health.limit(now, each)
+            and self.health.limit(now, each)
         ]
-        records = self._health.records_by_id
+        records = self.health.records_by_id
         return sorted(
             free,
             key=lambda each: (
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/return_marks.py
@@ -0,0 +1,47 @@
+"""Which permits in use have to go back when their calls end."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from banyanshelf_core.model import UpstreamId
+
+
+class ReturnMarks:
+    """Counts of permits in use that are for single use or recalled.
+
+    Permits of one upstream are interchangeable, so that counts suffice.
+    """
+
+    __slots__ = ("_recalled", "_single_use")
+
+    def __init__(self) -> None:
+        self._single_use: Counter[UpstreamId] = Counter()
+        self._recalled: Counter[UpstreamId] = Counter()
+
+    def add_single_use(self, upstream_id: UpstreamId) -> None:
+        """Mark one permit for single use."""
+        self._single_use[upstream_id] += 1
+
+    def recall(self, upstream_id: UpstreamId, count: int, in_use: int) -> None:
+        """Mark permits in use as recalled; those for single use go back anyway."""
+        most = in_use - self._single_use[upstream_id]
+        marked = min(most, self._recalled[upstream_id] + count)
+        if marked > 0:
+            self._recalled[upstream_id] = marked
+
+    def forget_recalls(self) -> None:
+        """Drop the recalls of an earlier session."""
+        self._recalled.clear()
+
+    def take(self, upstream_id: UpstreamId) -> bool:
+        """Whether a permit whose call has ended must go back; uses up one mark."""
+        for marks in (self._single_use, self._recalled):
+            count = marks.get(upstream_id, 0) if marks else 0
+            if count > 1:
+                marks[upstream_id] = count - 1
+                return True
+            if count:
+                del marks[upstream_id]
+                return True
+        return False
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from logbook import Logger
@@ -12,7 +11,6 @@
 from twisted.internet.task import LoopingCall
 
 from banyanshelf_core.admission import WaitingCall
-from banyanshelf_core.hashing import rank_members
 from banyanshelf_core.messages import (
     Acquire,
     AnswerSample,
@@ -27,17 +25,21 @@
 from banyanshelf_core.model import (
     Broadcast,
     Epoch,
-    Member,
     MemberId,
     Send,
     ServiceName,
     Upstream,
     UpstreamId,
 )
-from banyanshelf_core.permits.coordinator import CoordinatorSettings, SlotCoordinator
 from banyanshelf_core.permits.effects import Assign, Effect, Probe, Refuse
-from banyanshelf_core.permits.holder import HolderSettings, PermitHolder
-from banyanshelf_core.text import OperatorText
+from banyanshelf_core.permits.holder import PermitHolder
+from banyanshelf_daemon.baseline_admission import NO_RETRY_TIME_S, BaselineAdmission
+from banyanshelf_daemon.coordination_views import (
+    coordinator_settings,
+    holder_settings,
+    service_snapshot,
+)
+from banyanshelf_daemon.coordinator_roles import CoordinatorRoles
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ConfigurationSource,
@@ -48,13 +50,10 @@
     PermitRequest,
     UpstreamDirectory,
 )
+from banyanshelf_daemon.own_mailbox import OwnMailbox
 from banyanshelf_daemon.settings import Settings
 
 TICK_S = 0.025
-# Two members with different views of the membership would outbid each other at once.
-# With 1 s, a member that had just come back left the fleet without a coordinator.
-RETAKE_DELAY_S = 0.3
-
 log = Logger("banyanshelf.coordination")
 
 
@@ -66,10 +65,11 @@
 
 
 class _Running(NamedTuple):
-    """A permit in use."""
+    """A permit in use, with the baseline policy that gave it, if any."""
 
     service_name: ServiceName
     caller_service: str
+    baselines: BaselineAdmission | None = None
 
 
 class Coordination:
@@ -96,19 +96,15 @@
         self._rng = rng
         self._send_probe = send_probe
         self.holders_by_service: dict[ServiceName, PermitHolder] = {}
-        self.coordinators_by_service: dict[ServiceName, SlotCoordinator] = {}
+        self._roles = CoordinatorRoles(settings.member_id, rng)
+        self.coordinators_by_service = self._roles.coordinators_by_service
         self._upstreams_by_service: dict[ServiceName, dict[UpstreamId, Upstream]] = {}
         self._waiting_by_id: dict[int, _Waiting] = {}
         self._running_by_number: dict[int, _Running] = {}
         self._last_call_id = 0
-        self._own_messages: deque[PeerMessage] = deque()
-        self._is_routing = False
+        self._own_mailbox = OwnMailbox(self._on_own_message)
+        self._baselines: BaselineAdmission | None = None
         self._is_flush_scheduled = False
-        self._highest_number_by_service: dict[ServiceName, int] = {}
-        self._retake_at_by_service: dict[ServiceName, float] = {}
-        self._leaving_by_member: dict[MemberId, int] = {}
-        self._removed_at_by_member: dict[MemberId, float] = {}
-        self._known_members: dict[MemberId, Member] = {}
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = reactor
         self._is_stopped = False
@@ -142,7 +138,7 @@
         """
         roles = [f"service/{name}" for name in self.coordinators_by_service]
         incarnation = self._own_incarnation()
-        self._leaving_by_member[self._member_id] = incarnation
+        self._roles.set_leaving(self._member_id, incarnation)
         self._network.broadcast(Leaving(incarnation, roles))
         self.coordinators_by_service.clear()
         for holder in self.holders_by_service.values():
@@ -176,6 +172,9 @@
         now = self._reactor.seconds()
         self._last_call_id += 1
         call_id = self._last_call_id
+        if self._baselines is not None:
+            self._admit_at_once(self._baselines, service_name, request, deferred)
+            return deferred
         deferred.call_id = call_id
         deferred.service_name = service_name
         call = WaitingCall(
@@ -200,6 +199,9 @@
             log.warn(f"permit {permit.number} was released twice")
             return
         service_name = running.service_name
+        if running.baselines is not None:
+            running.baselines.release(service_name, permit.upstream.id)
+            return
         holder = self.holders_by_service.get(service_name)
         if holder is None:
             return
@@ -217,9 +219,32 @@
     ) -> None:
         """Take in a load report from a response."""
         for service_name, upstreams in self._upstreams_by_service.items():
-            if upstream_id in upstreams:
-                holder = self.holders_by_service[service_name]
-                holder.local.note_load_report(upstream_id, in_flight, slots)
+            if upstream_id not in upstreams:
+                continue
+            holder = self.holders_by_service[service_name]
+            holder.local.note_load_report(upstream_id, in_flight, slots)
+            if self._baselines is not None:
+                self._baselines.note_load_report(
+                    service_name, upstream_id, in_flight, slots
+                )
+
+    def _admit_at_once(
+        self,
+        baselines: BaselineAdmission,
+        service_name: ServiceName,
+        request: PermitRequest,
+        deferred: Deferred[Permit],
+    ) -> None:
+        number = self._last_call_id
+        permit = baselines.acquire(service_name, request, number)
+        if permit is None:
+            reason = "no upstream left for this call"
+            deferred.errback(NotAdmittedError(reason, NO_RETRY_TIME_S))
+            return
+        self._running_by_number[number] = _Running(
+            service_name, request.caller_service, baselines
+        )
+        deferred.callback(permit)
 
     def _on_cancelled(self, deferred: Any) -> None:
         if self._waiting_by_id.pop(deferred.call_id, None) is None:
@@ -235,41 +260,25 @@
             each for each in self.holders_by_service if each not in text.services
         ]:
             del self.holders_by_service[name]
-            self.coordinators_by_service.pop(name, None)
+            self._roles.drop(name)
             self._upstreams_by_service.pop(name, None)
+        policy = text.policy
+        if policy == "permits":
+            self._baselines = None
+        elif self._baselines is None or self._baselines.policy != policy:
+            self._baselines = BaselineAdmission(policy, self._rng)
+            for name, upstreams in self._upstreams_by_service.items():
+                self._baselines.set_upstreams(name, upstreams)
         for name in text.services:
             if name not in self.holders_by_service:
                 self.holders_by_service[name] = PermitHolder(
                     self._rng,
                     name,
                     (self._member_id, self._zone),
-                    self._holder_settings(text, name),
+                    holder_settings(text, name),
                 )
-        self._on_members_change()
         self._on_upstreams_change()
-
-    @staticmethod
-    def _holder_settings(text: OperatorText, name: ServiceName) -> HolderSettings:
-        service = text.services[name]
-        return HolderSettings(
-            service.queue_limit,
-            service.caller_weights,
-            service.timeout_ms / 1e3,
-            text.protection.ramp_ms / 1e3,
-            text.protection.eject_after_failures,
-        )
-
-    def _coordinator_settings(self, name: ServiceName) -> CoordinatorSettings:
-        active = self._configuration.active()
-        assert active is not None
-        text = active.text
-        return CoordinatorSettings(
-            text.services[name].timeout_ms / 1e3,
-            text.protection.ramp_ms / 1e3,
-            text.protection.eject_after_failures,
-            text.measuring.probe_share,
-            text.measuring.probe_cost_ms / 1e3,
-        )
+        self._on_members_change()
 
     def _own_incarnation(self) -> int:
         own = self._members.members_by_id().get(self._member_id)
@@ -278,17 +287,7 @@
     def _on_members_change(self) -> None:
         now = self._reactor.seconds()
         members = dict(self._members.members_by_id())
-        known, self._known_members = self._known_members, members
-        for member_id in known:
-            if member_id not in members:
-                self._removed_at_by_member[member_id] = now
-        for member_id in members:
-            self._removed_at_by_member.pop(member_id, None)
-        own, own_before = members.get(self._member_id), known.get(self._member_id)
-        if own and own_before and own.incarnation != own_before.incarnation:
-            # The others have removed this member and may have chosen a coordinator.
-            self.coordinators_by_service.clear()
-        self._retake_at_by_service.clear()
+        self._roles.set_members(now, members)
         for service_name, holder in self.holders_by_service.items():
             holder.local.set_members(members)
             coordinator_id = holder.epoch.member_id
@@ -301,49 +300,14 @@
                 zones = {each.id: each.zone for each in members.values()}
                 self._route(service_name, coordinator.set_members(now, zones))
 
-    def _first_ranked(self, service_name: ServiceName) -> MemberId | None:
-        members = self._known_members
-        candidates = [
-            member_id
-            for member_id, member in members.items()
-            if self._leaving_by_member.get(member_id, -1) < member.incarnation
-        ] or list(members)
-        ranked = rank_members(f"service/{service_name}", candidates)
-        return ranked[0] if ranked else None
-
     def _take_or_drop_role(self, now: float, service_name: ServiceName) -> None:
-        is_first = self._first_ranked(service_name) == self._member_id
-        is_coordinating = service_name in self.coordinators_by_service
-        if is_coordinating and not is_first:
-            del self.coordinators_by_service[service_name]
-            log.info(f"service {service_name}: coordinator role given up")
-        if is_coordinating or not is_first:
-            return
-        if now < self._retake_at_by_service.get(service_name, 0.0):
+        active = self._configuration.active()
+        if active is None or service_name not in self._upstreams_by_service:
             return
-        holder = self.holders_by_service[service_name]
-        highest = self._highest_number_by_service.get(service_name, 0)
-        number = max(holder.epoch.number, highest) + 1
-        epoch = Epoch(number, self._member_id)
-        settings = self._coordinator_settings(service_name)
-        removed = {
-            member_id: removed_at
-            for member_id, removed_at in self._removed_at_by_member.items()
-            if now - removed_at < settings.time_limit_s
-        }
-        coordinator = SlotCoordinator(
-            now,
-            self._rng,
-            service_name,
-            epoch,
-            {each.id: each.zone for each in self._known_members.values()},
-            self._upstreams_by_service.get(service_name, {}),
-            settings,
-            removed,
-        )
-        self.coordinators_by_service[service_name] = coordinator
-        log.info(f"service {service_name}: coordinator role taken, epoch {epoch[0]}")
-        self._route(service_name, coordinator.start())
+        settings = coordinator_settings(active.text, service_name)
+        upstreams = self._upstreams_by_service[service_name]
+        effects = self._roles.take_or_drop(now, service_name, upstreams, settings)
+        self._route(service_name, effects)
 
     def _on_upstreams_change(self) -> None:
         now = self._reactor.seconds()
@@ -352,6 +316,8 @@
             if upstreams == self._upstreams_by_service.get(service_name):
                 continue
             self._upstreams_by_service[service_name] = upstreams
+            if self._baselines is not None:
+                self._baselines.set_upstreams(service_name, upstreams)
             coordinator = self.coordinators_by_service.get(service_name)
             if coordinator is not None:
                 self._route(service_name, coordinator.set_upstreams(now, upstreams))
@@ -368,7 +334,7 @@
                 self._route(service_name, effects)
 
     def _on_leaving(self, sender: MemberId, message: Leaving) -> None:
-        self._leaving_by_member[sender] = message.incarnation
+        self._roles.set_leaving(sender, message.incarnation)
         now = self._reactor.seconds()
         for service_name in self.holders_by_service:
             self._take_or_drop_role(now, service_name)
@@ -382,8 +348,8 @@
         now = self._reactor.seconds()
         if (message.epoch_number, message.epoch_member) > coordinator.epoch:
             # Another member coordinated while this one was cut off.
-            self._highest_number_by_service[message.service_name] = message.epoch_number
-            del self.coordinators_by_service[message.service_name]
+            self._roles.note_epoch(message.service_name, message.epoch_number)
+            self._roles.drop(message.service_name)
             self._take_or_drop_role(now, message.service_name)
             return
         effects = coordinator.on_message(now, sender, message)
@@ -393,12 +359,9 @@
         service_name = message.service_name
         coordinator = self.coordinators_by_service.get(service_name)
         epoch = Epoch(message.epoch_number, message.epoch_member)
+        self._roles.note_epoch(service_name, epoch.number)
         if coordinator is not None and epoch > coordinator.epoch:
-            del self.coordinators_by_service[service_name]
-            self._retake_at_by_service[service_name] = (
-                self._reactor.seconds() + RETAKE_DELAY_S
-            )
-            log.info(f"service {service_name}: coordinator role lost to {epoch}")
+            self._roles.lose(self._reactor.seconds(), service_name, epoch)
         elif coordinator is not None and epoch < coordinator.epoch:
             own = CoordinatorAnnounce(service_name, *coordinator.epoch)
             self._network.send(sender, own)
@@ -419,8 +382,7 @@
             self._route(service_name, coordinator.tick(now))
         for service_name, holder in list(self.holders_by_service.items()):
             self._route(service_name, holder.tick(now))
-            if now >= self._retake_at_by_service.get(service_name, float("inf")):
-                del self._retake_at_by_service[service_name]
+            if self._roles.is_retake_due(now, service_name):
                 self._take_or_drop_role(now, service_name)
 
     def _schedule_flush(self) -> None:
@@ -455,11 +417,11 @@
         holder = self.holders_by_service.get(service_name)
         if holder is not None and holder.wants_flush:
             self._schedule_flush()
-        self._deliver_own()
+        self._own_mailbox.deliver()
 
     def _send(self, service_name: ServiceName, effect: Send) -> None:
         if effect.to == self._member_id:
-            self._own_messages.append(effect.message)
+            self._own_mailbox.put(effect.message)
             return
         if self._network.send(effect.to, effect.message):
             return
@@ -473,19 +435,12 @@
             holder = self.holders_by_service[service_name]
             self._route(service_name, holder.on_link(now, is_up=False))
 
-    def _deliver_own(self) -> None:
-        if self._is_routing:
-            return
-        self._is_routing = True
-        try:
-            while self._own_messages:
-                message: Any = self._own_messages.popleft()
-                if isinstance(message, Holdings | Acquire | Release):
-                    self._on_gateway_message(self._member_id, message)
-                else:
-                    self._on_coordinator_message(self._member_id, message)
-        finally:
-            self._is_routing = False
+    def _on_own_message(self, message: PeerMessage) -> None:
+        match message:
+            case Holdings() | Acquire() | Release():
+                self._on_gateway_message(self._member_id, message)
+            case CoordinatorAnnounce() | Grant() | Recall():
+                self._on_coordinator_message(self._member_id, message)
 
     def _on_assigned(self, service_name: ServiceName, effect: Assign) -> None:
         waiting = self._waiting_by_id.pop(effect.call_id)
@@ -517,6 +472,12 @@
 
         self._send_probe(upstream).addBoth(on_result)
 
-    def snapshot(self) -> Mapping[str, Any]:
+    def snapshot(self) -> dict[str, Any]:
         """Return the state of all services for the status page."""
-        return {}
+        now = self._reactor.seconds()
+        return {
+            service_name: service_snapshot(
+                now, holder, self.coordinators_by_service.get(service_name)
+            )
+            for service_name, holder in self.holders_by_service.items()
+        }
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordinator_roles.py
@@ -0,0 +1,126 @@
+"""Which services this member coordinates, and their coordinators."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+from logbook import Logger
+
+from banyanshelf_core.hashing import rank_members
+from banyanshelf_core.model import (
+    Epoch,
+    Member,
+    MemberId,
+    ServiceName,
+    Upstream,
+    UpstreamId,
+)
+from banyanshelf_core.permits.coordinator import CoordinatorSettings, SlotCoordinator
+from banyanshelf_core.permits.effects import CoordinatorEffect
+
+# Two members with different views of the membership would outbid each other at once.
+# With 1 s, a member that had just come back left the fleet without a coordinator.
+RETAKE_DELAY_S = 0.3
+
+log = Logger("banyanshelf.coordination")
+
+
+class CoordinatorRoles:
+    """The coordinators of one member; the first member in rank has the role."""
+
+    def __init__(self, member_id: MemberId, rng: random.Random) -> None:
+        self._member_id = member_id
+        self._rng = rng
+        self.coordinators_by_service: dict[ServiceName, SlotCoordinator] = {}
+        self._known_members: dict[MemberId, Member] = {}
+        self._removed_at_by_member: dict[MemberId, float] = {}
+        self._leaving_by_member: dict[MemberId, int] = {}
+        self._highest_by_service: dict[ServiceName, int] = {}
+        self._retake_at_by_service: dict[ServiceName, float] = {}
+
+    def set_members(self, now: float, members: Mapping[MemberId, Member]) -> None:
+        """Take over the live members; a new incarnation of this one drops all roles."""
+        known, self._known_members = self._known_members, dict(members)
+        for member_id in known:
+            if member_id not in members:
+                self._removed_at_by_member[member_id] = now
+        for member_id in members:
+            self._removed_at_by_member.pop(member_id, None)
+        own, own_before = members.get(self._member_id), known.get(self._member_id)
+        if own and own_before and own.incarnation != own_before.incarnation:
+            # The others have removed this member and may have chosen a coordinator.
+            self.coordinators_by_service.clear()
+        self._retake_at_by_service.clear()
+
+    def set_leaving(self, member_id: MemberId, incarnation: int) -> None:
+        """Give a member that stops on purpose no role."""
+        self._leaving_by_member[member_id] = incarnation
+
+    def note_epoch(self, service_name: ServiceName, number: int) -> None:
+        """Remember the highest epoch number that was seen for a service."""
+        highest = self._highest_by_service.get(service_name, 0)
+        self._highest_by_service[service_name] = max(highest, number)
+
+    def drop(self, service_name: ServiceName) -> None:
+        """Forget a service."""
+        self.coordinators_by_service.pop(service_name, None)
+
+    def lose(self, now: float, service_name: ServiceName, epoch: Epoch) -> None:
+        """Yield to a coordinator with a higher epoch, for a moment at least."""
+        del self.coordinators_by_service[service_name]
+        self._retake_at_by_service[service_name] = now + RETAKE_DELAY_S
+        log.info(f"service {service_name}: coordinator role lost to {epoch.member_id}")
+
+    def is_retake_due(self, now: float, service_name: ServiceName) -> bool:
+        """Whether a lost role may be taken again now; true once."""
+        if now < self._retake_at_by_service.get(service_name, float("inf")):
+            return False
+        del self._retake_at_by_service[service_name]
+        return True
+
+    def take_or_drop(
+        self,
+        now: float,
+        service_name: ServiceName,
+        upstreams_by_id: Mapping[UpstreamId, Upstream],
+        settings: CoordinatorSettings,
+    ) -> list[CoordinatorEffect]:
+        """Take the role of a service, keep it or give it up, by rank."""
+        is_first = self._first_ranked(service_name) == self._member_id
+        is_coordinating = service_name in self.coordinators_by_service
+        if is_coordinating and not is_first:
+            del self.coordinators_by_service[service_name]
+            log.info(f"service {service_name}: coordinator role given up")
+        is_delayed = now < self._retake_at_by_service.get(service_name, 0.0)
+        if is_coordinating or not is_first or is_delayed:
+            return []
+        number = self._highest_by_service.get(service_name, 0) + 1
+        removed = {
+            member_id: removed_at
+            for member_id, removed_at in self._removed_at_by_member.items()
+            if now - removed_at < settings.time_limit_s
+        }
+        coordinator = SlotCoordinator(
+            now,
+            self._rng,
+            service_name,
+            Epoch(number, self._member_id),
+            {each.id: each.zone for each in self._known_members.values()},
+            upstreams_by_id,
+            settings,
+            removed,
+        )
+        self.coordinators_by_service[service_name] = coordinator
+        log.info(f"service {service_name}: coordinator role taken, epoch {number}")
+        return coordinator.start()
+
+    def _first_ranked(self, service_name: ServiceName) -> MemberId | None:
+        members = self._known_members
+        candidates = [
+            member_id
+            for member_id, member in members.items()
+            if self._leaving_by_member.get(member_id, -1) < member.incarnation
+        ]
+        ranked = rank_members(f"service/{service_name}", candidates or members)
+        return ranked[0] if ranked else None
