Bound unfinished trailers and count requests being received at a stop

Change: bytes without progress are limited in heads and trailers; a stop waits for requests received in part; time limits start anew after a call and at the close of a connection.

Measured: 3 new rows.

Conclusion: the trailer, the stop and the pipeline have rows; the two time limits have none yet.

--- a/features/daemon/call.feature
+++ b/features/daemon/call.feature
@@ -22,6 +22,7 @@
       | interrupted non-idempotent call     | POST /a >> gone >> drain >> expect calls 1 False >> 200 ok | released answered; calls 0 True |
       | lost call when a gateway stops      | GET /a >> drain >> expect calls 1 False >> 200 ok | answer 200 ok; header Connection=close; calls 0 True; caller closed |
       | idle connection that delays a stop  | GET /a >> 200 ok >> drain | caller closed; calls 0 True |
+      | request lost in part at a stop      | bytes GET /a HTTP/1.1\r\n >> drain >> expect calls 0 False >> bytes Host: desk.example\r\n\r\n >> 200 ok | answer 200 ok; calls 0 True; caller closed |
       | call that outlives its time limit   | POST /a >> wait 2.1 | answer 504 unknown; released timeout; upstream_closed True |
       | wait that outlives the time limit   | hold_permits >> POST /a >> wait 2.1 | answer 504 not_run; sent 0 |
 
--- a/features/daemon/caller_requests.feature
+++ b/features/daemon/caller_requests.feature
@@ -40,13 +40,15 @@
       | failure                        | events | checks |
       | request without Host           | bytes GET /a HTTP/1.1\r\n\r\n | answer 400 not_run; caller closed; sent 0 |
       | malformed Host                 | bytes GET /a HTTP/1.1\r\nHost: desk.example/x\r\n\r\n | answer 400 not_run; caller closed; sent 0 |
-      | endless number of headers      | repeat 101 X: a\r\n | answer 431 not_run; caller closed |
-      | endless size of headers        | repeat 600 X-Name: 0123456789012345678901234567890\r\n | answer 431 not_run; caller closed |
-      | endless header                 | repeat 20000 a | answer 431 not_run; caller closed |
+      | endless number of headers      | bytes GET /a HTTP/1.1\r\nHost: desk.example\r\n >> repeat 101 X: a\r\n | answer 431 not_run; caller closed |
+      | endless size of headers        | bytes GET /a HTTP/1.1\r\nHost: desk.example\r\n >> repeat 600 X-Name: 0123456789012345678901234567890\r\n | answer 431 not_run; caller closed |
+      | endless header                 | bytes GET /a HTTP/1.1\r\nHost: desk.example\r\n >> repeat 20000 a | answer 431 not_run; caller closed |
+      | endless trailer                | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: >> repeat 20000 a | answer 431 not_run; caller closed |
       | slow head                      | bytes GET /a HTTP/1.1\r\nHost: >> wait 9 >> expect caller open >> wait 2 | answer 408 not_run; caller closed |
       | slow body                      | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n\r\nab >> wait 29 >> expect caller open >> wait 2 | answer 408 not_run; caller closed |
       | endless number of connections  | another | answer 503 not_run; caller closed |
       | pipelined answers out of order | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> expect sent 1 >> 200 one >> 200 two | bodies one two; starts GET /2 |
+      | refusal of a long pipeline     | pipeline 500 | sent 499; caller open |
       | answer lost before a bad one   | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nBAD\r\n\r\n >> expect sent 1 >> 200 one | answer 400 not_run; sent 1; caller closed |
       | part of a body sent            | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n >> expect sent 0 >> bytes 1\r\nc\r\n0\r\nX-T: t\r\n\r\n >> 200 ok | got Content-Length: 3; got abc; got_not X-T |
       | wait for 100 Continue          | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n >> expect answer 100 >> bytes hi >> 200 ok | answer 200 ok; got_not expect |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -66,13 +66,20 @@
 
 
 def on_repeat(context, arguments):
-    """Send bytes many times after a request line."""
     count, data = arguments.split(" ", 1)
-    on_bytes(context, "GET /a HTTP/1.1\\r\\nHost: desk.example\\r\\n")
     for _ in range(int(count)):
         context.caller.receive(unescape(data))
 
 
+def on_pipeline(context, count):
+    """Send many requests, cut inside a request, and answer them."""
+    requests = b"GET /a HTTP/1.1\r\nHost: desk.example\r\n\r\n" * int(count)
+    context.path.send(context.caller, requests[:9])
+    context.path.send(context.caller, requests[9:-9])
+    while context.path.waiting():
+        step_events(context, "200 ok")
+
+
 def on_upstream(context, data):
     context.transport = context.path.waiting()[0]
     context.request = context.transport.value()
@@ -152,6 +159,7 @@
 EVENTS = {
     "bytes": on_bytes,
     "repeat": on_repeat,
+    "pipeline": on_pipeline,
     "upstream": on_upstream,
     "not_run": on_not_run,
     "wait": on_wait,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -178,16 +178,15 @@
             return
         reader = self._reader
         was_idle = reader.is_idle
-        had_head = not reader.in_head
+        was_in_head = reader.in_head
         reader.feed(data)
-        if self._exchange is None or self._is_serving:
+        if self._exchange is None:
             self._serve()
         if reader.is_idle:
             if self._exchange is None:
                 self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
-        elif was_idle or (had_head != (not reader.in_head)):
-            timeout_s = HEAD_TIMEOUT_S if reader.in_head else BODY_TIMEOUT_S
-            self._deadline = self.factory.now() + timeout_s
+        elif was_idle or was_in_head != reader.in_head:
+            self._deadline = self.factory.now() + self._receive_timeout_s()
         if reader.received and not self._is_read_paused:
             # Read on when the requests that are waiting have been served.
             self._is_read_paused = True
@@ -227,8 +226,8 @@
         if close or self._is_closing:
             self.close()
             return
-        if self._reader.is_idle:
-            self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
+        # Reading may have been paused during the call.
+        self._deadline = self.factory.now() + self._receive_timeout_s()
         if not self._is_serving:
             self._serve()
 
@@ -236,9 +235,15 @@
         """Close after everything written has been sent."""
         if not self._is_closing:
             self._is_closing = True
+            self._deadline = self.factory.now() + SLOW_READER_TIMEOUT_S
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has been received in part."""
+        return not (self._reader.is_idle or self._is_closing)
+
     def close_if_idle(self) -> None:
         """Close unless a request is being received or served."""
         if self._exchange is None and self._reader.is_idle:
@@ -248,14 +253,19 @@
         """Close a connection that is idle, or too slow to send or to read."""
         if now < self._deadline:
             return
-        if self.is_write_paused:
+        if self.is_write_paused or self._is_closing:
             self.transport.abortConnection()
-        elif self._exchange is None and not self._is_closing:
+        elif self._exchange is None:
             if self._reader.is_idle:
                 self.close()
             else:
                 self._refuse(RequestError(408, "the request arrived too slowly"))
 
+    def _receive_timeout_s(self) -> float:
+        if self._reader.is_idle:
+            return KEEP_ALIVE_TIMEOUT_S
+        return HEAD_TIMEOUT_S if self._reader.in_head else BODY_TIMEOUT_S
+
     def _serve(self) -> None:
         # A loop, as a long pipeline of refused requests would nest too deeply.
         self._is_serving = True
@@ -325,8 +335,8 @@
     def stop_accepting(self) -> Deferred[None]:
         """Close each connection after its current call.
 
-        The result, also available as ``drained``, fires once no call is in progress;
-        idle connections are closed then.
+        The result, also available as ``drained``, fires once no call is in progress
+        and no request has been received in part; idle connections are closed then.
         """
         if not self.is_stopping:
             self.is_stopping = True
@@ -345,6 +355,8 @@
     def remove(self, connection: CallerConnection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        if self.is_stopping:
+            self._check_drained()
 
     def call_begun(self) -> None:
         """Count a call."""
@@ -359,9 +371,11 @@
     def _check_drained(self) -> None:
         if self.calls_in_progress or self.drained.called:
             return
+        if any(connection.is_receiving for connection in self._connections):
+            return
+        self.drained.callback(None)
         for connection in list(self._connections):
             connection.close_if_idle()
-        self.drained.callback(None)
 
     def _sweep(self) -> None:
         self._sweep_call = None
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
@@ -43,7 +43,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._in_head = False
         self._in_body = False
-        self._unparsed_head_bytes = 0
+        self._begun = 0
+        self._unparsed_bytes = 0
         self.wants_continue = False
         self._reset()
 
@@ -61,7 +62,8 @@
         """Parse more bytes; results are in ``received`` and ``error``."""
         if self.error is not None:
             return
-        was_in_head = self._in_head
+        was_in_head, was_in_body = self._in_head, self._in_body
+        progress = (self._begun, self._body_bytes)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -69,14 +71,21 @@
         except httptools.HttpParserError as error:
             if self.error is None:
                 self._refuse(400, f"malformed request: {error}")
-        if was_in_head and self._in_head:
-            self._unparsed_head_bytes += len(data)
-            if self._unparsed_head_bytes > MAX_HEAD_BYTES:
-                self._refuse(431, f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        is_unfinished = (was_in_head and self._in_head) or (
+            was_in_body and self._in_body
+        )
+        if is_unfinished and progress == (self._begun, self._body_bytes):
+            # The codec keeps an unfinished header or trailer without a limit.
+            self._unparsed_bytes += len(data)
+            if self._unparsed_bytes > MAX_HEAD_BYTES:
+                self._refuse(431, f"headers exceed {MAX_HEAD_BYTES} bytes")
+        else:
+            self._unparsed_bytes = 0
 
     def on_message_begin(self) -> None:
         """Start a request (called by the codec)."""
         self._reset()
+        self._begun += 1
         self._in_head = True
 
     def on_url(self, part: bytes) -> None:
@@ -105,7 +114,6 @@
     def on_headers_complete(self) -> None:
         """Check the head before any byte of the body (called by the codec)."""
         self._in_head = False
-        self._unparsed_head_bytes = 0
         self._in_body = True
         version = self._parser.get_http_version()
         if version not in ("1.1", "1.0"):
