--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decision core against simple oracles."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocol for exhaustive checking."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
@@ -66,9 +66,8 @@
 class ClaimStore(Protocol):
     """The store as the claim shards use it.
 
-    Both methods fail with :class:`~banyanshelf_core.errors.StoreUnavailableError` when
-    the effect is unknown, and with :class:`~banyanshelf_core.errors.StoreBudgetError`
-    when nothing was sent. They must fire in the end.
+    Both fail with ``StoreUnavailableError`` when the effect is unknown, and with
+    ``StoreBudgetError`` when nothing was sent. They must fire in the end.
     """
 
     def transact(
@@ -365,7 +364,8 @@
             self._wake_times[component] = self._runner.next_wake()
         else:
             self._wake_times[component] = self._owners[component].next_wake()
-        earliest = min((each for each in self._wake_times if each), default=None)
+        times = [each for each in self._wake_times if each is not None]
+        earliest = min(times, default=None)
         if self._wake_call is not None:
             if earliest is not None and earliest >= self._wake_at:
                 return
