--- a/model/configuration.py
+++ b/model/configuration.py
@@ -5,7 +5,8 @@
 a member at any time, in any order, from the store or from a peer.
 
 ``head`` is the accepted version and ``history`` the change that made each version. An
-operator is ``idle`` or ``sent`` (a commit is unresolved); ``told`` has its results. A member is at a version, or at 0 while it starts.
+operator is ``idle`` or ``sent`` (a commit is unresolved); ``told`` has its results. A
+member is at a version, or at 0 while it starts.
 
 The ``outage_restart`` variant is a limit of the design and no fault: a process that
 starts while the store is down takes the highest version among its peers, which may be
