--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -14,6 +14,7 @@
         updates=[messages.MemberUpdate("gateway-1", "127.0.0.1:9", "Huye", 3, "alive")],
         config_version=12,
         config_digest="ab",
+        view=5,
     ),
     "ConfigText": messages.ConfigText(version=2, digest="cd", text="Mahébourg"),
     "Release": messages.Release(
@@ -24,6 +25,9 @@
         waiting=1,
         oldest_wait_us=900,
         samples=[messages.AnswerSample("desk-1", 20_000, "answered")],
+        permits_received=5,
+        spare=1,
+        excluded=["desk-3"],
     ),
     "ClaimReply": messages.ClaimReply(
         attempt_id="a1",
@@ -77,3 +81,15 @@
     allowed = (*messages.PeerMessage.__args__, CodecError)
     assert all(isinstance(result, allowed) for result in context.results)
     assert any(isinstance(result, CodecError) for result in context.results)
+
+
+@when("its text bytes are replaced by bytes that are not UTF-8")
+def step_not_utf8(context):
+    content = encode(context.message)
+    assert content.count(b"gateway-1") == 1
+    context.results = [decoded_or_error(content.replace(b"gateway-1", b"\xff" * 9))]
+
+
+@then("the codec refuses it")
+def step_refused(context):
+    assert isinstance(context.results[0], CodecError), context.results
--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -44,6 +44,10 @@
     """This process has used its share of store calls; try again later."""
 
 
+class StoreRecordError(StoreError):
+    """A record of the store that cannot be read or fails its digest check."""
+
+
 class CodecError(BanyanshelfError):
     """A peer message that cannot be decoded; the link is closed."""
 
@@ -60,5 +64,9 @@
     """The connection was cut after bytes of the request had left."""
 
 
+class UpstreamAnswerError(UpstreamError):
+    """The upstream sent bytes that are no answer, or one without a certain end."""
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The upstream did not answer within the call's remaining time."""
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -0,0 +1,405 @@
+"""One service's permits and waiting calls at one gateway."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from banyanshelf_core.admission import AdmissionQueue, WaitingCall
+from banyanshelf_core.messages import (
+    AnswerSample,
+    CoordinatorAnnounce,
+    Grant,
+    GrantTerms,
+    Holdings,
+    Recall,
+)
+from banyanshelf_core.model import (
+    NO_EPOCH,
+    CallId,
+    Epoch,
+    MemberId,
+    Send,
+    ServiceName,
+    Upstream,
+    UpstreamId,
+)
+from banyanshelf_core.permits.effects import Assign, HolderEffect, Refuse
+from banyanshelf_core.permits.ledger import slot_counts_of
+from banyanshelf_core.permits.local_choice import LocalChoice
+from banyanshelf_core.permits.outbox import Outbox
+from banyanshelf_core.permits.permit_counts import PermitCounts
+from banyanshelf_core.permits.reach import CoordinatorReach
+from banyanshelf_core.permits.return_marks import ReturnMarks
+from banyanshelf_core.upstream_health import UpstreamHealth
+
+SHORTEST_RETRY_AFTER_S = 0.1
+
+
+class HolderSettings(NamedTuple):
+    """Settings of one service's holder, in seconds."""
+
+    queue_limit: int = 512
+    caller_weights: Mapping[str, int] = {}
+    time_limit_s: float = 2.0
+    ramp_s: float = 5.0
+    eject_after_failures: int = 3
+
+
+class PermitHolder:
+    """Permits held, calls in progress and waiting calls of one service.
+
+    Changes for the coordinator collect until :meth:`flush`, so that those of one
+    reactor turn become one; ``wants_flush`` tells whether there are any.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        service_name: ServiceName,
+        member: tuple[MemberId, str],
+        settings: HolderSettings,
+    ) -> None:
+        self.service_name = service_name
+        self.member_id, self.zone = member
+        self.epoch = NO_EPOCH
+        self.queue = AdmissionQueue(settings.queue_limit, settings.caller_weights)
+        self.counts = PermitCounts()
+        self.is_contended = False
+        self.is_draining = False
+        self._health = UpstreamHealth(
+            settings.time_limit_s, settings.ramp_s, settings.eject_after_failures
+        )
+        self.local = LocalChoice(rng, member, self._health)
+        self._reach = CoordinatorReach(settings.time_limit_s)
+        self._reuse_after_s = 0.0
+        self._waiting_since = 0.0
+        self._outbox = Outbox(service_name)
+        self._marks = ReturnMarks()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the coordinator can be asked; the local share is used otherwise."""
+        return self._reach.is_reachable
+
+    def acquire(
+        self, now: float, call: WaitingCall, *, only_idle: bool = False
+    ) -> Sequence[HolderEffect]:
+        """Assign an idle permit to a call, queue the call, or refuse it."""
+        if self.counts.idle_total and self._reach.have_permits_lapsed(now):
+            self.drop_idle()
+        if self.counts.idle_total:
+            upstream_id = self.local.pick_idle(self.counts.idle, call.excluded)
+            if upstream_id is not None:
+                candidates = len(self.counts.idle)
+                self.counts.take_idle(upstream_id)
+                if not (
+                    self.counts.idle_total or self.is_contended or self.is_draining
+                ):
+                    self._outbox.ask_spare(now)
+                return (
+                    self._assign(now, call, upstream_id, "idle permit", candidates),
+                )
+        if only_idle:
+            return (Refuse(call.call_id, "no idle permit", SHORTEST_RETRY_AFTER_S),)
+        if not self.local.has_candidate(call.excluded):
+            return (Refuse(call.call_id, "no upstream left for this call", 1.0),)
+        expected = self._expected_wait_s(call.depth)
+        if now + expected > call.deadline:
+            return (Refuse(call.call_id, "expected wait exceeds time left", expected),)
+        shed = self.queue.add(call)
+        effects: list[HolderEffect] = []
+        if shed is not None:
+            retry_after = max(SHORTEST_RETRY_AFTER_S, expected)
+            effects.append(Refuse(shed.call_id, "queue full", retry_after))
+        if len(self.queue) == 1:
+            self._waiting_since = now
+        if self._reach.is_reachable:
+            self._outbox.wants_flush = True
+        else:
+            effects += self._assign_local(now)
+        return effects
+
+    def cancel(self, now: float, call_id: CallId) -> bool:
+        """Give up a waiting call's place; returns whether it was waiting."""
+        found = self.queue.remove(call_id) is not None
+        if found:
+            self._outbox.wants_flush = True
+        return found
+
+    def release(
+        self,
+        now: float,
+        upstream_id: UpstreamId,
+        caller_service: str,
+        sample: AnswerSample,
+        *,
+        is_local: bool = False,
+    ) -> Sequence[HolderEffect]:
+        """Take back the permit of a call that has ended."""
+        self.queue.in_use_by_caller[caller_service] -= 1
+        self.counts.calls -= 1
+        self.local.take_sample(now, sample)
+        self._outbox.add_sample(now, sample)
+        if is_local and self.local.end_call(upstream_id):
+            # Not counted by any coordinator, so there is nothing to hand back.
+            return () if self._reach.is_reachable else self._assign_local(now)
+        self.counts.end_permit(upstream_id)
+        if is_local or self._must_return(now, upstream_id):
+            self._give_back(upstream_id)
+        elif len(self.queue) and self._may_reuse(now):
+            call = self.queue.take(upstream_id)
+            if call is not None:
+                return (self._assign(now, call, upstream_id, "reused permit", 1),)
+            self._keep_or_return(now, upstream_id)
+        elif len(self.queue):
+            self._give_back(upstream_id)
+        else:
+            self._keep_or_return(now, upstream_id)
+        if not self._reach.is_reachable and len(self.queue):
+            return self._assign_local(now)
+        return ()
+
+    def on_message(
+        self, now: float, message: CoordinatorAnnounce | Grant | Recall
+    ) -> Sequence[HolderEffect]:
+        """Take in a coordinator's message; ignores epochs lower than the highest."""
+        epoch = Epoch(message.epoch_number, message.epoch_member)
+        if epoch < self.epoch:
+            if isinstance(message, CoordinatorAnnounce):
+                # Tells a coordinator that was cut off which epoch it has to exceed.
+                return (self._holdings(message.epoch_member),)
+            return ()
+        if epoch > self.epoch and not isinstance(message, CoordinatorAnnounce):
+            return ()  # Permits of an epoch that is not announced here yet.
+        if isinstance(message, CoordinatorAnnounce):
+            return self._on_announce(now, epoch)
+        ended_silence = self._reach.note_heard(now)
+        effects: Sequence[HolderEffect] = ()
+        match message:
+            case Grant():
+                effects = self._on_grant(now, message)
+            case Recall():
+                self._on_recall(message)
+        return (*effects, *self._report(now)) if ended_silence else effects
+
+    def on_link(self, now: float, *, is_up: bool) -> Sequence[HolderEffect]:
+        """Note that the coordinator's link came up or went down."""
+        self._reach.set_link(now, is_up=is_up)
+        if is_up:
+            return self._report(now)
+        return self._assign_local(now)
+
+    def set_upstreams(
+        self, now: float, upstreams_by_id: Mapping[UpstreamId, Upstream]
+    ) -> Sequence[HolderEffect]:
+        """Take over the upstreams; idle permits of leaving ones are handed back."""
+        self.local.set_upstreams(now, upstreams_by_id)
+        for upstream_id in list(self.counts.idle):
+            if not self.local.is_live(upstream_id):
+                self._return_idle(upstream_id, self.counts.idle[upstream_id])
+        effects: list[HolderEffect] = []
+        for call in self.queue:
+            if not self.local.has_candidate(call.excluded):
+                self.cancel(now, call.call_id)
+                effects.append(
+                    Refuse(call.call_id, "no upstream left for this call", 1.0)
+                )
+        if not self._reach.is_reachable:
+            effects += self._assign_local(now)
+        return effects
+
+    def tick(self, now: float) -> Sequence[HolderEffect]:
+        """Act on what time brings; to be called every 25 ms or so."""
+        effects: list[HolderEffect] = []
+        self.local.refresh(now)
+        for call in self.queue:
+            if now >= call.deadline:
+                self.cancel(now, call.call_id)
+                retry_after = max(SHORTEST_RETRY_AFTER_S, now - call.arrived)
+                effects.append(Refuse(call.call_id, "no permit in time", retry_after))
+        self._reach.tick(now, self._waiting_since if len(self.queue) else None)
+        if not self._reach.is_reachable:
+            if self._reach.have_permits_lapsed(now):
+                self.drop_idle()
+            effects += self._assign_local(now)
+            if self._reach.may_inquire(now):
+                effects += self._report(now)
+            return effects
+        excess = self.counts.excess(now)
+        while excess > 0 and self.counts.idle_total:
+            self._return_idle(next(iter(self.counts.idle)), 1)
+            excess -= 1
+        self._outbox.tick(now)
+        return effects
+
+    def drain(self) -> None:
+        """Hand back all idle permits, and those in use when their calls end."""
+        self.is_draining = True
+        self.drop_idle()
+
+    def drop_idle(self) -> None:
+        """Hand back all idle permits."""
+        for upstream_id in list(self.counts.idle):
+            self._return_idle(upstream_id, self.counts.idle[upstream_id])
+
+    @property
+    def wants_flush(self) -> bool:
+        """Whether :meth:`flush` has something to send."""
+        return self._outbox.wants_flush
+
+    def flush(self, now: float) -> Sequence[Send]:
+        """Return the message that collects all changes since the last one."""
+        if not self._reach.is_reachable:
+            self._outbox.wants_flush = False
+            return ()
+        message = self._outbox.flush(now, self.epoch, self.queue)
+        return () if message is None else (message,)
+
+    def _assign(
+        self,
+        now: float,
+        call: WaitingCall,
+        upstream_id: UpstreamId,
+        reason: str,
+        candidates: int,
+        *,
+        is_local: bool = False,
+    ) -> Assign:
+        self.queue.in_use_by_caller[call.caller_service] += 1
+        self.counts.start_call(now, None if is_local else upstream_id)
+        if is_local:
+            self.local.start_call(upstream_id)
+        epoch_number = 0 if is_local else self.epoch.number
+        return Assign(call.call_id, upstream_id, epoch_number, reason, candidates)
+
+    def _assign_local(self, now: float) -> list[HolderEffect]:
+        """Assign waiting calls to idle permits and the local share."""
+        effects: list[HolderEffect] = []
+        for upstream_id in list(self.counts.idle):
+            while self.counts.idle[upstream_id] > 0:
+                call = self.queue.take(upstream_id)
+                if call is None:
+                    break
+                self.counts.take_idle(upstream_id)
+                effects.append(self._assign(now, call, upstream_id, "idle permit", 1))
+        shared = self.local.shared_upstreams(now) if len(self.queue) else []
+        for upstream_id in shared:
+            call = self.queue.take(upstream_id)
+            if call is not None:
+                reason, places = "local share", len(shared)
+                effects.append(
+                    self._assign(now, call, upstream_id, reason, places, is_local=True)
+                )
+        return effects
+
+    def _on_announce(self, now: float, epoch: Epoch) -> Sequence[HolderEffect]:
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._outbox.permits_received = 0
+            self.is_contended = False
+            self._reuse_after_s = 0.0
+        self._reach.set_link(now, is_up=True)
+        return self._report(now)
+
+    def _report(self, now: float) -> Sequence[HolderEffect]:
+        """Report everything that is held, which replaces the coordinator's count."""
+        if self.epoch == NO_EPOCH:
+            return ()
+        for upstream_id, count in self.local.count_calls().items():
+            self.counts.in_use[upstream_id] += count
+        self._reach.note_inquiry(now)
+        self._marks.forget_recalls()
+        self._outbox.restart()
+        return (self._holdings(self.epoch.member_id),)
+
+    def _holdings(self, receiver: MemberId) -> Send:
+        return Send(
+            receiver,
+            Holdings(
+                self.service_name,
+                *self.epoch,
+                slot_counts_of(self.counts.in_use),
+                slot_counts_of(self.counts.idle),
+                len(self.queue),
+                self._outbox.permits_received,
+            ),
+        )
+
+    def _on_grant(self, now: float, message: Grant) -> Sequence[HolderEffect]:
+        self._reuse_after_s = message.reuse_after_us / 1e6
+        self.is_contended = message.contended
+        terms = message.terms
+        effects: list[HolderEffect] = []
+        for each in message.permits:
+            upstream_id = each.upstream
+            self._outbox.note_grant(each.count)
+            for _ in range(each.count):
+                if not self.local.is_live(upstream_id):
+                    self._give_back(upstream_id)
+                    continue
+                call = self.queue.take(
+                    upstream_id, only_idempotent=terms == GrantTerms.TRIAL
+                )
+                if call is not None:
+                    effects.append(self._assign(now, call, upstream_id, "granted", 1))
+                    if terms != GrantTerms.REUSABLE:
+                        self._marks.add_single_use(upstream_id)
+                elif terms == GrantTerms.REUSABLE and not len(self.queue):
+                    self._keep_or_return(now, upstream_id)
+                else:
+                    self._give_back(upstream_id)
+        if self.counts.idle_total:
+            self._outbox.note_spare_received()
+        return effects
+
+    def _on_recall(self, message: Recall) -> None:
+        if not message.upstream:
+            self.is_contended = True
+            left = message.count
+            for upstream_id in list(self.counts.idle):
+                count = min(left, self.counts.idle[upstream_id])
+                self._return_idle(upstream_id, count)
+                left -= count
+            return
+        upstream_id = message.upstream
+        count = min(message.count, self.counts.idle[upstream_id])
+        self._return_idle(upstream_id, count)
+        left = message.count - count
+        self._marks.recall(upstream_id, left, self.counts.in_use[upstream_id])
+
+    def _must_return(self, now: float, upstream_id: UpstreamId) -> bool:
+        if self._marks.take(upstream_id):
+            return True
+        if self.is_draining or not self.local.is_live(upstream_id):
+            return True
+        return self._reach.have_permits_lapsed(now)
+
+    def _may_reuse(self, now: float) -> bool:
+        if not self.is_contended or not self._reach.is_reachable:
+            return True
+        oldest = self.queue.oldest_arrival()
+        return oldest is not None and now - oldest >= self._reuse_after_s
+
+    def _keep_or_return(self, now: float, upstream_id: UpstreamId) -> None:
+        is_wanted = not self.is_contended and self.counts.is_wanted(now)
+        if (is_wanted or not self._reach.is_reachable) and not self.is_draining:
+            self.counts.add_idle(upstream_id)
+        else:
+            self._give_back(upstream_id)
+
+    def _give_back(self, upstream_id: UpstreamId) -> None:
+        self._outbox.give_back(upstream_id)
+
+    def _return_idle(self, upstream_id: UpstreamId, count: int) -> None:
+        for _ in range(count):
+            self.counts.take_idle(upstream_id)
+            self._give_back(upstream_id)
+
+    def _expected_wait_s(self, depth: int) -> float:
+        """Return how long the calls ahead take with the present concurrency."""
+        ahead = self.queue.ahead_of(depth)
+        if not ahead:
+            return 0.0
+        return ahead * self.local.mean_service_s() / max(1, self.counts.calls)
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -0,0 +1,233 @@
+"""Routes requests to calls; the entry of the data path for all listeners."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from banyanshelf_core.errors import RequestError, UpstreamError
+from banyanshelf_core.matching import RequestMatcher, RouteDecision
+from banyanshelf_core.model import Outcome, Upstream
+from banyanshelf_daemon.call_services import NO_CONTEXT, CallContext, CallServices
+from banyanshelf_daemon.caller_server import Exchange
+from banyanshelf_daemon.claimed_call import ClaimedCall
+from banyanshelf_daemon.decision_log import DecisionLog
+from banyanshelf_daemon.http_message import AnswerHead, Request
+from banyanshelf_daemon.interfaces import (
+    ActiveText,
+    ClaimService,
+    ConfigurationSource,
+    MembershipSource,
+    PeerNetwork,
+    PermitService,
+    UpstreamDirectory,
+)
+from banyanshelf_daemon.metrics import Metrics
+from banyanshelf_daemon.problem import problem_answer
+from banyanshelf_daemon.running_call import RunningCall
+from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.upstream_client import UpstreamConnection
+
+PROBE_TIMEOUT_S = 1.0
+# Without a configuration text at startup; the store or a peer usually gives it sooner.
+RETRY_AFTER_START_S = 1.0
+
+
+class CallHandler:
+    """Serves the calls of all listeners of one daemon.
+
+    Example:
+        ``CallerServerFactory(handler, settings, trust_internal_headers=False)`` is the
+        factory of the callers' listener.
+
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        configuration: ConfigurationSource,
+        permits: PermitService,
+        claims: ClaimService,
+        directory: UpstreamDirectory,
+        members: MembershipSource,
+        network: PeerNetwork,
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.reactor = reactor
+        self.services = CallServices(
+            reactor,
+            settings,
+            configuration,
+            permits,
+            claims,
+            directory,
+            members,
+            network,
+            rng,
+            log,
+            metrics,
+        )
+        self._matcher: RequestMatcher | None = None
+        self._matcher_text: ActiveText | None = None
+        self._calls = 0
+
+    def start(
+        self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
+    ) -> RunningCall | None:
+        """Serve a request; the result is None if it has been answered already."""
+        self._calls += 1
+        request_id = f"{self.services.start_id}-{self._calls:x}"
+        active = self.services.active()
+        if active is None:
+            self._answer_refusal(
+                exchange,
+                RequestError(503, "this gateway has no configuration text yet"),
+                request_id,
+                RETRY_AFTER_START_S,
+            )
+            return None
+        context = NO_CONTEXT
+        try:
+            if trust_internal_headers:
+                context = CallContext.from_request(request)
+            route = self._matcher_for(active).match(
+                request.host, request.path, request.method, request.value_by_name
+            )
+            if not route.idempotent:
+                _check_key(request, route)
+        except RequestError as error:
+            self._answer_refusal(exchange, error, request_id)
+            return None
+        call_type = RunningCall if route.key is None else ClaimedCall
+        call = call_type(
+            self.services, request, exchange, route, active, context, request_id
+        )
+        # Known to the exchange before it may be answered or cut.
+        exchange.call = call
+        call.run()
+        return call
+
+    def refused(self, status: int, detail: str) -> None:
+        """Count a request that was refused before routing."""
+        self.services.metrics.count(f"request.refused.{status}")
+
+    def probe(self, upstream: Upstream) -> Deferred[bool]:
+        """Send one probe; the result tells whether it was answered with 2xx in 1 s.
+
+        The caller of this method has made sure that the probe budget covers it.
+        """
+        active = self.services.active()
+        path = active.text.measuring.probe_path if active else "/"
+        request = (
+            f"GET {path} HTTP/1.1\r\nHost: {upstream.address}\r\n"
+            "User-Agent: banyanshelf-probe\r\n\r\n"
+        )
+        return _Probe(self.services, upstream, request.encode()).result
+
+    def stop(self) -> None:
+        """Close idle connections, for use after the last call."""
+        self.services.stop()
+
+    def _answer_refusal(
+        self,
+        exchange: Exchange,
+        error: RequestError,
+        request_id: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self.refused(error.status, error.detail)
+        exchange.answer(
+            problem_answer(
+                error.status,
+                error.detail,
+                Outcome.NOT_RUN,
+                "http_request_error" if error.status < 500 else "proxy_internal_error",
+                retry_after_s=retry_after_s,
+                request_id=request_id,
+            )
+        )
+
+    def _matcher_for(self, active: ActiveText) -> RequestMatcher:
+        if self._matcher is None or self._matcher_text is not active:
+            self._matcher = RequestMatcher.from_text(active.text)
+            self._matcher_text = active
+        return self._matcher
+
+
+def _check_key(request: Request, route: RouteDecision) -> None:
+    """Refuse a missing or ambiguous key; raises :class:`RequestError`."""
+    service = route.service
+    if route.key is None:
+        if route.require_key:
+            raise RequestError(
+                400, f"send {service.idempotency_header} with this request"
+            )
+        return
+    if not route.key.strip():
+        raise RequestError(400, f"{service.idempotency_header} is empty")
+    for name in (service.idempotency_header, service.credential_header):
+        lower = name.lower().encode("latin-1")
+        if sum(entry[0] == lower for entry in request.headers) > 1:
+            raise RequestError(400, f"repeated header {name}")
+
+
+class _Probe:
+    """One probe, which takes no permit."""
+
+    def __init__(
+        self, services: CallServices, upstream: Upstream, request: bytes
+    ) -> None:
+        self.result: Deferred[bool] = Deferred()
+        self._status = 0
+        self._connection: UpstreamConnection | None = None
+        self._timer = services.reactor.callLater(PROBE_TIMEOUT_S, self._expired)
+        pool = services.pool_for(upstream)
+        connection = pool.take()
+        self._waiter: Deferred[UpstreamConnection] | None = None
+        if connection is not None:
+            self._send(connection, request)
+            return
+        self._waiter = pool.wait()
+        self._waiter.addCallback(self._send, request)
+        self._waiter.addErrback(self._refused)
+
+    def answer_begun(self, head: AnswerHead) -> None:
+        """Note the status."""
+        self._status = head.status
+
+    def answer_data(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def answer_complete(self) -> None:
+        """Report a whole answer."""
+        self._finish(200 <= self._status < 300)
+
+    def answer_failed(self, error: UpstreamError) -> None:
+        """Report a failure."""
+        self._finish(False)
+
+    def _send(self, connection: UpstreamConnection, request: bytes) -> None:
+        self._connection = connection
+        connection.send(request, self, is_head=False)
+
+    def _refused(self, _failure: Failure) -> None:
+        self._finish(False)
+
+    def _expired(self) -> None:
+        if self._connection is not None:
+            self._connection.cancel()
+        elif self._waiter is not None:
+            self._waiter.cancel()
+        self._finish(False)
+
+    def _finish(self, is_alive: bool) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+        if not self.result.called:
+            self.result.callback(is_alive)
