--- a/features/standins/answer_check.feature
+++ b/features/standins/answer_check.feature
@@ -6,10 +6,11 @@
     Then the answer is judged "<verdict>"
 
     Examples:
-      | fault                   | verdict    |
-      | no fault                | ok         |
-      | the token of another    | wrong      |
-      | the body of another     | wrong      |
-      | a shortened body        | wrong      |
-      | a not_run problem       | not_run    |
-      | an error without reason | status_500 |
+      | fault                      | verdict    |
+      | no fault                   | ok         |
+      | the token of another       | wrong      |
+      | the body of another        | wrong      |
+      | a shortened body           | wrong      |
+      | a not_run problem          | not_run    |
+      | an error without reason    | status_500 |
+      | an error meant for another | wrong      |
--- a/features/steps/standin_answer_steps.py
+++ b/features/steps/standin_answer_steps.py
@@ -33,8 +33,11 @@
             body = body[:-4]
         case "a not_run problem":
             status, body = 503, b'{"title": "full", "outcome": "not_run"}'
+            headers = {"content-type": "application/problem+json"}
         case "an error without reason":
             status, body = 500, b"failed"
+        case "an error meant for another":
+            status, body, headers = 500, b"failed", {"echo-token": "b-2"}
     context.result = judge(context.call, status, headers, body)
 
 
--- a/packages/banyanshelf-bench/src/banyanshelf_bench/fleet.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/fleet.py
@@ -18,6 +18,8 @@
 from banyanshelf_bench.commit_text import Committed, commit_text
 from banyanshelf_bench.control import ControlError, call_json, try_status, wait_until
 from banyanshelf_bench.processes import FleetProcess
+from banyanshelf_core.claims.records import SHARD_COUNT
+from banyanshelf_core.hashing import rank_members
 
 CALLER_PORT, SERVICE_PORT, PEER_PORT, OPERATOR_PORT = 8080, 8081, 8082, 8083
 BACKEND_PORT, BACKEND_CONTROL_PORT = 9000, 9001
@@ -255,6 +257,33 @@
         except ControlError:
             return {}
 
+    def owned_shards(self) -> list[int]:
+        """Return the claim shards that serving daemons say they own."""
+        return sorted(
+            shard["shard"]
+            for daemon_id in self.daemon_ids
+            if self.processes_by_id[daemon_id].serves
+            for shard in self.try_status(daemon_id).get("claims", {}).get("shards", [])
+            if shard["owned"]
+        )
+
+    def wait_for_shards(self) -> None:
+        """Wait until each claim shard has one owner; raises ``TimeoutError``.
+
+        Daemons serve before that, and refuse keyed calls as not run until then.
+        """
+        every_shard = list(range(SHARD_COUNT))
+        wait_until(
+            lambda: self.owned_shards() == every_shard, "owners of all claim shards"
+        )
+
+    def coordinator(self, service: str) -> str:
+        """Return the daemon that ranks first for a service among those that serve."""
+        serving = [
+            item for item in self.daemon_ids if self.processes_by_id[item].serves
+        ]
+        return rank_members(f"service/{service}", serving)[0]
+
     def restart_daemon(self, daemon_id: str) -> None:
         """Start a daemon that has exited and wait until it serves."""
         self.processes_by_id[daemon_id].start()
--- a/packages/banyanshelf-bench/src/banyanshelf_bench/processes.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/processes.py
@@ -40,6 +40,11 @@
         """Whether the process has been started and has not exited."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def serves(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.running and not self.paused
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the last run, None while it runs."""
--- a/packages/banyanshelf-bench/src/banyanshelf_bench/report.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/report.py
@@ -83,7 +83,7 @@
                 above.get("p99_9"),
                 _outcomes(stream),
                 usage["daemon_cpu_us_per_call"],
-                usage["control_bytes_per_node_per_second"],
+                usage["control_bytes_sent_per_node_per_second"],
                 usage["probe_share_of_slot_time"],
                 result["backends"]["peak_queue_beyond_slots"],
                 result["backends"]["runs_beyond_first"],
