--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from types import SimpleNamespace
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock
 
 from banyanshelf_core.messages import AnswerSample
@@ -140,6 +140,7 @@
         self.permitted = Counter()
         self.answered = self.refused = self.started = 0
         self.waiting = {}
+        self.waits = []
         self.service_time = lambda upstream_id: self.rng.expovariate(1 / 0.02)
         self.kind = lambda upstream_id: "answered"
         self.probes = []
@@ -171,7 +172,7 @@
     def deliver(self, sender, receiver, message):
         """Deliver a message after the latency; False without a link."""
         pair = frozenset((sender, receiver))
-        if pair in self.down:
+        if pair in self.down or receiver not in self.gateways:
             return False
         self.sent[type(message).__name__] += 1
         gateway = self.gateways[receiver]
@@ -187,7 +188,9 @@
         self.session_by_pair[pair] += 1
         (self.down.discard if is_up else self.down.add)(pair)
         for own, other in ((first, second), (second, first)):
-            gateway = self.gateways[own]
+            gateway = self.gateways.get(own)
+            if gateway is None:
+                continue
             for handler in gateway.link_handlers:
                 gateway.clock.fire(handler, (other, is_up))
 
@@ -241,13 +244,16 @@
         )
         outcome = SimpleNamespace(permit=None, refused=None)
 
+        arrived = self.clock.seconds()
+
         def on_permit(permit):
             outcome.permit = permit
+            self.waits.append(self.clock.seconds() - arrived)
             self.waiting.pop(number)
             self.start_call(gateway, permit)
 
         def on_refused(failure):
-            failure.trap(NotAdmittedError)
+            failure.trap(NotAdmittedError, CancelledError)
             outcome.refused = failure.value
             self.waiting.pop(number)
             self.refused += 1
--- a/features/steps/permit_fleet_steps.py
+++ b/features/steps/permit_fleet_steps.py
@@ -4,6 +4,8 @@
 from permit_faults import RandomFaults
 from permit_fleet import Fleet
 
+from banyanshelf_core.messages import AnswerSample
+
 STEP_S = 0.0005
 FAULTS_PER_SECOND = 6
 MEMBER_CHANGE_SPACING_S = 8.0
@@ -72,3 +74,122 @@
 @then("the coordinator of the permit fleet counts exactly what the gateways hold")
 def step_exact(context):
     context.faults.check_ledger()
+
+
+@when("the coordinator of the permit fleet is killed")
+def step_kill(context):
+    fleet = context.fleet
+    context.former = fleet.coordinator_id()
+    context.former_epoch = fleet.coordinators()[context.former].epoch
+    killed = fleet.gateways.pop(context.former)
+    killed.clock.is_dead = True
+    for member_id in fleet.gateways:
+        fleet.set_link(member_id, context.former, False)
+    fleet.clock.callLater(2.0, fleet.set_members, sorted(fleet.gateways))
+
+
+@when("the coordinator of the permit fleet leaves on purpose")
+def step_leave(context):
+    fleet = context.fleet
+    context.former = fleet.coordinator_id()
+    context.former_epoch = fleet.coordinators()[context.former].epoch
+    fleet.gateways[context.former].coordination.hand_over()
+    fleet.advance(0.1)
+
+
+@then("another gateway coordinates the permit fleet with a higher epoch")
+def step_replaced(context):
+    (new_id,) = context.fleet.coordinators()
+    assert new_id != context.former
+    assert context.fleet.coordinators()[new_id].epoch > context.former_epoch
+
+
+@then("the gateway that leaves holds no permits in the permit fleet")
+def step_holds_nothing(context):
+    gateway = context.fleet.gateways[context.former]
+    counts = gateway.coordination.holders_by_service["desk"].counts
+    assert not counts.idle and not counts.in_use, counts
+
+
+@then("the highest wait in the permit fleet was below {limit:d} ms")
+def step_highest_wait(context, limit):
+    highest = max(context.fleet.waits)
+    assert 0 < highest < limit / 1e3, highest
+
+
+@when(
+    "the other gateway of the permit fleet ends {count:d} calls in one turn under "
+    "contention"
+)
+def step_end_together(context, count):
+    fleet = context.fleet
+    (other,) = set(fleet.gateways) - {fleet.coordinator_id()}
+    fleet.service_time = lambda upstream_id: 0.5
+    for _ in range(count):
+        fleet.call(other)
+    fleet.advance(0.3)
+    fleet.gateways[other].coordination.holders_by_service["desk"].is_contended = True
+    fleet.sent.clear()
+    fleet.advance(0.25)
+
+
+@then('the permit fleet has sent {count:d} message of class "{name}" for them')
+def step_sent(context, count, name):
+    assert context.fleet.sent[name] == count, context.fleet.sent
+    assert context.fleet.answered == 4
+
+
+@when("a call of the permit fleet is cancelled while another one runs")
+def step_cancel(context):
+    fleet = context.fleet
+    fleet.service_time = lambda upstream_id: 0.2
+    context.first = fleet.call("gateway-0")
+    fleet.advance(0.05)
+    cancelled = fleet.call("gateway-0")
+    cancelled.deferred.addErrback(lambda failure: None)
+    fleet.advance(0.01)
+    cancelled.deferred.cancel()
+    fleet.advance(0.3)
+    assert context.first.permit and not cancelled.permit
+
+
+@then("the permit fleet admits one more call afterwards")
+def step_admits(context):
+    context.second = context.fleet.call("gateway-1")
+    context.fleet.advance(0.3)
+    assert context.second.permit is not None
+
+
+@then("a second release in the permit fleet changes nothing")
+def step_release_twice(context):
+    coordination = context.fleet.gateways["gateway-1"].coordination
+    counts = coordination.holders_by_service["desk"].counts
+    before = (counts.calls, dict(counts.idle), dict(counts.in_use))
+    sample = AnswerSample(context.second.permit.upstream.id, 1, "answered")
+    coordination.release(context.second.permit, sample)
+    assert before == (counts.calls, dict(counts.idle), dict(counts.in_use))
+
+
+@given(
+    "a permit fleet of {gateways:d} gateways and {upstreams:d} upstreams with policy "
+    '"{policy}"'
+)
+def step_baseline_fleet(context, gateways, upstreams, policy):
+    text = f'policy = "{policy}"\n[services.desk]\n'
+    context.fleet = Fleet(6, gateways, upstreams, 3, text)
+
+
+@when("{count:d} calls arrive at one gateway of the permit fleet at once")
+def step_burst(context, count):
+    coordination = context.fleet.gateways["gateway-0"].coordination
+    for number in range(len(context.fleet.upstreams) - 1):
+        coordination.note_load_report(f"desk-{number}", 2, 3)
+    for _ in range(count):
+        context.fleet.call("gateway-0")
+
+
+@then('the permit fleet runs {count:d} calls, on "{upstreams}" upstreams')
+def step_runs(context, count, upstreams):
+    running = +context.fleet.running
+    assert sum(running.values()) == count
+    assert len(running) == (1 if upstreams == "one" else len(context.fleet.upstreams))
