Report the busiest daemon's CPU time

Cause: the coordinator carries more work than the other daemons, which the sum over all daemons hides.

Change: measurements have busiest_daemon_cores, and restarted daemons no longer count as negative CPU time.

Conclusion: a saturated coordinator can be told from a busy machine.

--- a/packages/banyanshelf-bench/src/banyanshelf_bench/bench_run.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/bench_run.py
@@ -56,7 +56,7 @@
     """Resource use of the daemons and backend servers up to one moment."""
 
     at: float
-    cpu_s: float
+    cpu_s_by_daemon: dict[str, float]
     peer_bytes: int
     calls_finished: int
     probe_s: float
@@ -70,7 +70,6 @@
         self.fleet = fleet
         self.events: dict[str, Any] = {}
         self.phases: dict[str, tuple[float, float]] = {}
-        self._restarted_cpu_s = 0.0
 
     @property
     def first_service(self) -> str:
@@ -134,7 +133,10 @@
     def usage(self) -> Usage:
         """Return the use of resources so far."""
         fleet = self.fleet
-        cpu_s = sum(fleet.processes_by_id[i].cpu_seconds() for i in fleet.daemon_ids)
+        cpu_s_by_daemon = {
+            daemon_id: fleet.processes_by_id[daemon_id].cpu_seconds()
+            for daemon_id in fleet.daemon_ids
+        }
         peer_bytes = sum(
             sum_numbers(fleet.status(daemon_id)["peer_bytes"]["bytes_out"])
             for daemon_id in fleet.daemon_ids
@@ -143,7 +145,7 @@
         records = self.backend_records()
         finished = sum(record["finished"] for record in records)
         probe_s = sum(record["probe_s"] for record in records)
-        return Usage(time.monotonic(), cpu_s, peer_bytes, finished, probe_s)
+        return Usage(time.monotonic(), cpu_s_by_daemon, peer_bytes, finished, probe_s)
 
     def backend_records(self) -> list[dict[str, Any]]:
         """Return the records of the backend servers that run."""
@@ -216,6 +218,15 @@
 
     def _usage(self, before: Usage, after: Usage) -> dict[str, Any]:
         seconds = after.at - before.at
+        # A daemon that was restarted meanwhile has only used its later CPU time.
+        cpu_s = [
+            (
+                used - before.cpu_s_by_daemon[daemon_id]
+                if used >= before.cpu_s_by_daemon[daemon_id]
+                else used
+            )
+            for daemon_id, used in after.cpu_s_by_daemon.items()
+        ]
         calls = max(1, after.calls_finished - before.calls_finished)
         slot_count = sum(backend.slots for backend in self.fleet.shape.backends)
         daemons = len(self.fleet.daemon_ids)
@@ -226,8 +237,9 @@
         return {
             "seconds": round(seconds, 2),
             "calls_per_second": round(calls / seconds, 1),
-            "daemon_cpu_us_per_call": round((after.cpu_s - before.cpu_s) / calls * 1e6),
-            "daemon_cores": round((after.cpu_s - before.cpu_s) / seconds, 3),
+            "daemon_cpu_us_per_call": round(sum(cpu_s) / calls * 1e6),
+            "daemon_cores": round(sum(cpu_s) / seconds, 3),
+            "busiest_daemon_cores": round(max(cpu_s) / seconds, 3),
             "control_bytes_sent_per_node_per_second": round(
                 (after.peer_bytes - before.peer_bytes) / seconds / daemons
             ),
