Order the imports of a step file

Cause: the import order check failed in the new step file.

Change: reordered by the linter.

Conclusion: no change of behaviour.

--- a/features/steps/expected_wait_steps.py
+++ b/features/steps/expected_wait_steps.py
@@ -2,12 +2,13 @@
 
 import random
 
+from behave import given, then, when
+
 from banyanshelf_core.admission import WaitingCall
 from banyanshelf_core.messages import AnswerSample
 from banyanshelf_core.model import Upstream
 from banyanshelf_core.permits.effects import Refuse
 from banyanshelf_core.permits.holder import HolderSettings, PermitHolder
-from behave import given, then, when
 
 SLOTS = 3
 START_S = 100.0
