--- a/features/core/permits_fleet.feature
+++ b/features/core/permits_fleet.feature
@@ -6,6 +6,13 @@
     Then the permit fleet has answered every call
     And no upstream of the permit fleet ran more calls than its slots
 
+  # Guards against a text key that is accepted and has no effect.
+  Scenario: The text caps the slots that the host list gives
+    Given a permit fleet of 3 gateways and 5 upstreams with 3 slots, 1 by the text
+    When the permit fleet handles 100 calls a second for 2 seconds
+    Then the permit fleet has answered every call
+    And no upstream of the permit fleet ran more than 1 call at a time
+
   # Guards against a service that stops with its coordinator.
   Scenario: A killed coordinator costs no call and is replaced within 2.5 s
     Given a permit fleet of 6 gateways and 5 upstreams with 3 slots, seed 2
--- a/features/steps/permit_fleet_steps.py
+++ b/features/steps/permit_fleet_steps.py
@@ -19,6 +19,20 @@
     context.fleet = Fleet(seed, gateways, upstreams, slots)
 
 
+@given(
+    "a permit fleet of {gateways:d} gateways and {upstreams:d} upstreams with "
+    "{slots:d} slots, {allowed:d} by the text"
+)
+def step_capped_fleet(context, gateways, upstreams, slots, allowed):
+    text = f"[services.desk]\nslots_per_upstream = {allowed}\n"
+    context.fleet = Fleet(6, gateways, upstreams, slots, text)
+
+
+@then("no upstream of the permit fleet ran more than {limit:d} call at a time")
+def step_capped(context, limit):
+    assert max(context.fleet.highest.values()) == limit, context.fleet.highest
+
+
 @when("the permit fleet handles {rate:d} calls a second for {seconds:d} seconds")
 def step_load(context, rate, seconds):
     fleet = context.fleet
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -43,10 +43,10 @@
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A group of interchangeable upstreams and the rules for calls to it.
 
-    Times are in milliseconds. ``weight`` is the share of a gateway's concurrency
-    relative to other services. ``retry_share`` is the part of recent calls that may be
-    retried or hedged. ``caller_weights`` gives the share of this service by calling
-    service; others have 1.
+    Times are in milliseconds. ``slots_per_upstream`` caps the slots that the host list
+    gives. ``retry_share`` is the part of recent calls that may be retried or hedged.
+    ``caller_weights`` gives the share of this service by calling service; others have
+    1.
     """
 
     hosts: list[str] = []
@@ -56,7 +56,6 @@
     connections_per_upstream: int = 200
     timeout_ms: int = 2000
     queue_limit: int = 512
-    weight: int = 1
     caller_weights: dict[str, int] = {}
     idempotency_header: str = "Idempotency-Key"
     credential_header: str = "Authorization"
@@ -180,7 +179,6 @@
         "connections_per_upstream": 1,
         "timeout_ms": 1,
         "queue_limit": 1,
-        "weight": 1,
         "max_attempts": 1,
     }
     for key, lowest in lowest_by_key.items():
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -33,6 +33,7 @@
 from banyanshelf_core.permits.holder import IDLE_PERMIT, NO_UPSTREAM, PermitHolder
 from banyanshelf_daemon.baseline_admission import NO_RETRY_TIME_S, BaselineAdmission
 from banyanshelf_daemon.coordination_views import (
+    capped_upstreams,
     coordinator_settings,
     holder_settings,
     service_snapshot,
@@ -307,8 +308,13 @@
 
     def _on_upstreams_change(self) -> None:
         now = self._reactor.seconds()
+        active = self._configuration.active()
+        services = active.text.services if active else {}
         for service_name, holder in self.holders_by_service.items():
-            upstreams = dict(self._directory.upstreams_by_id(service_name))
+            upstreams = capped_upstreams(
+                self._directory.upstreams_by_id(service_name),
+                services.get(service_name),
+            )
             if upstreams == self._upstreams_by_service.get(service_name):
                 continue
             self._upstreams_by_service[service_name] = upstreams
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination_views.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination_views.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
-from banyanshelf_core.model import ServiceName
+from banyanshelf_core.model import ServiceName, Upstream, UpstreamId
 from banyanshelf_core.permits.coordinator import SlotCoordinator
 from banyanshelf_core.permits.holder import PermitHolder
 from banyanshelf_core.permits.settings import CoordinatorSettings, HolderSettings
-from banyanshelf_core.text import OperatorText
+from banyanshelf_core.text import OperatorText, Service
 
 
 def holder_settings(text: OperatorText, name: ServiceName) -> HolderSettings:
@@ -34,6 +35,19 @@
     )
 
 
+def capped_upstreams(
+    upstreams_by_id: Mapping[UpstreamId, Upstream], service: Service | None
+) -> dict[UpstreamId, Upstream]:
+    """Return the upstreams with at most the slots that the operators' text allows."""
+    if service is None:
+        return dict(upstreams_by_id)
+    limit = service.slots_per_upstream
+    return {
+        upstream_id: upstream._replace(slots=min(upstream.slots, limit))
+        for upstream_id, upstream in upstreams_by_id.items()
+    }
+
+
 def service_snapshot(
     now: float, holder: PermitHolder, coordinator: SlotCoordinator | None
 ) -> dict[str, Any]:
