--- a/features/steps/permit_holder_steps.py
+++ b/features/steps/permit_holder_steps.py
@@ -223,6 +223,11 @@
     assert context.held.refused.get(name) == reason, context.held.refused
 
 
+@then('the g1 holder has refused only "{name}", because of "{reason}"')
+def step_refused_only(context, name, reason):
+    assert context.held.refused == {name: reason}, context.held.refused
+
+
 @then('the g1 holder has handed back "{permits}"')
 def step_returned(context, permits):
     expected = Counter([] if permits == "nothing" else permits.split())
