Spread the cost of metrics and leave no cycles to the collector

Cause: formatting 64 timings at once delayed one call in 32 by 0.3 ms, which set the 99th percentile. A finished call and its exchange referred to each other, so that only the collector could free them.

Change: a timing is formatted when it is taken; an exchange forgets its call at its end.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -79,8 +79,8 @@
 
     def start(
         self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
-    ) -> RunningCall | None:
-        """Serve a request; the result is None if it has been answered already."""
+    ) -> None:
+        """Serve a request and set ``exchange.call`` while it is in progress."""
         self._calls += 1
         request_id = f"{self.services.start_id}-{self._calls:x}"
         active = self.services.active()
@@ -91,7 +91,7 @@
                 request_id,
                 RETRY_AFTER_START_S,
             )
-            return None
+            return
         context = NO_CONTEXT
         try:
             if trust_internal_headers:
@@ -103,15 +103,13 @@
                 _check_key(request, route)
         except RequestError as error:
             self._answer_refusal(exchange, error, request_id)
-            return None
+            return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
             self.services, request, exchange, route, active, context, request_id
         )
-        # Known to the exchange before it may be answered or cut.
         exchange.call = call
         call.run()
-        return call
 
     def refused(self, status: int, detail: str) -> None:
         """Count a request that was refused before routing."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -45,8 +45,8 @@
 
     def start(
         self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
-    ) -> RunningCall | None:
-        """Serve a request; the result is None if it has been answered already."""
+    ) -> None:
+        """Serve a request and set ``exchange.call`` while it is in progress."""
 
     def refused(self, status: int, detail: str) -> None:
         """Note a request that was refused before routing."""
@@ -145,6 +145,8 @@
 
     def _end(self, connection: CallerConnection, close: bool) -> None:
         self._connection = None
+        # The call refers to this exchange; a cycle would be left to the collector.
+        self.call = None
         self.producer = None
         connection.exchange_over(close=close)
 
@@ -281,7 +283,7 @@
             request = reader.received.popleft()
             exchange = self._exchange = Exchange(self, request)
             self.factory.call_begun()
-            exchange.call = self.factory.handler.start(
+            self.factory.handler.start(
                 request,
                 exchange,
                 trust_internal_headers=self.factory.trust_internal_headers,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -28,7 +28,8 @@
 from banyanshelf_daemon.settings import Address
 
 FLUSH_INTERVAL_S = 1.0
-# Formatting a full interval's timings at once would delay calls by milliseconds.
+# Each timing is formatted when it is taken: formatting these at once would delay one
+# call in 32 by 0.3 ms.
 TIMINGS_PER_FLUSH = 64
 # Fits one Ethernet frame.
 MAX_DATAGRAM_BYTES = 1432
@@ -55,7 +56,8 @@
                 ipv6=":" in address.host,
             )
         self._counts: defaultdict[str, int] = defaultdict(int)
-        self._timings: list[tuple[str, float]] = []
+        self._timings: Any = self._client.pipeline() if self._client else None
+        self._timing_count = 0
         self._gauges: dict[str, Callable[[], float]] = {}
         self._flush_call: Any = None
 
@@ -76,8 +78,9 @@
         """Add a timing."""
         if self._client is None:
             return
-        self._timings.append((name, milliseconds))
-        if len(self._timings) >= TIMINGS_PER_FLUSH:
+        self._timings.timing(name, milliseconds)
+        self._timing_count += 1
+        if self._timing_count >= TIMINGS_PER_FLUSH:
             self._send_timings()
         elif self._flush_call is None:
             self._schedule()
@@ -110,11 +113,8 @@
             self._client = None
 
     def _send_timings(self) -> None:
-        pipeline = self._client.pipeline()
-        for name, milliseconds in self._timings:
-            pipeline.timing(name, milliseconds)
-        self._timings.clear()
-        pipeline.send()
+        self._timings.send()
+        self._timing_count = 0
 
     def _schedule(self) -> None:
         self._flush_call = self._reactor.callLater(FLUSH_INTERVAL_S, self.flush)
