Keep fast errors out of the hedging delay

Cause: answers with status 500 and above counted as service times, so that a failing upstream made calls be hedged sooner and added load.

Change: only answers below 500 count. A row covers the time limit of a request that waits behind a call.

The delay after errors has no row.

Conclusion: unchanged behaviour except for the delay.

--- a/features/daemon/caller_requests.feature
+++ b/features/daemon/caller_requests.feature
@@ -45,6 +45,7 @@
       | endless header                 | bytes GET /a HTTP/1.1\r\nHost: desk.example\r\n >> repeat 20000 a | answer 431 not_run; caller closed |
       | endless trailer                | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: >> repeat 20000 a | answer 431 not_run; caller closed |
       | slow head                      | bytes GET /a HTTP/1.1\r\nHost: >> wait 9 >> expect caller open >> wait 2 | answer 408 not_run; caller closed |
+      | time limit while a call runs   | text timeout_ms = 20000 >> bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nGET /2 HT >> wait 12 >> 200 one >> wait 2 | bodies one; caller open |
       | slow body                      | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n\r\nab >> wait 29 >> expect caller open >> wait 2 | answer 408 not_run; caller closed |
       | endless number of connections  | another | answer 503 not_run; caller closed |
       | pipelined answers out of order | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> expect sent 1 >> 200 one >> 200 two | bodies one two; starts GET /2 |
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -69,12 +69,12 @@
     def attempt_answered(self, attempt: Attempt, answer: Answer) -> None:
         """Take a whole answer: pass it on, or retry if it is an error."""
         self._attempts.remove(attempt)
-        state = self._state
-        state.policy.note_answer(attempt.service_time_s)
         services = self.services
         if services.crash_guard.is_watching:
             services.broadcast(services.crash_guard.answered(self.fingerprint()))
         if answer.status < 500:
+            # Fast errors must not shorten the time before a hedged attempt.
+            self._state.policy.note_answer(attempt.service_time_s)
             self.finish(answer, attempt)
             return
         not_run = says_not_run(answer)
