Let a stalled log reader not stop the gateway

Cause: a write to a full pipe blocks the reactor, so a log reader that stalls would stop every call. The gauge of calls in progress was documented but not reported.

Change: lines are written in pieces that a writable pipe takes without blocking; up to 1 MiB waits, then lines are dropped and counted. Each listener reports its calls in progress.

--- a/features/daemon/metrics.feature
+++ b/features/daemon/metrics.feature
@@ -19,10 +19,11 @@
 
   # Guards against a log that stops the gateway when nobody reads it.
   Scenario Outline: The level and the state of the stream decide which lines are kept
-    Then a decision logged at level "<level>" to a stream that is <state> gives <count> lines
+    Then a decision logged at level "<level>" to a stream that is <state> keeps <count> lines
 
     Examples:
       | level   | state  | count |
       | info    | open   | 1     |
       | warning | open   | 0     |
       | info    | closed | 0     |
+      | info    | stalled | 1    |
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -115,6 +116,10 @@
         """Count a request that was refused before routing."""
         self.services.metrics.count(f"request.refused.{status}")
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value of a listener with the metrics."""
+        self.services.metrics.gauge(name, read)
+
     def probe(self, upstream: Upstream) -> Deferred[bool]:
         """Send one probe; the result tells whether it was answered with 2xx in 1 s.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Contract
 
@@ -51,6 +52,9 @@
     def refused(self, status: int, detail: str) -> None:
         """Note a request that was refused before routing."""
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value with the metrics."""
+
 
 class Exchange:
     """One request's way to answer; it has no effect once it is over.
@@ -325,6 +329,10 @@
         self._reactor = handler.reactor
         self._connections: set[CallerConnection] = set()
         self._sweep_call: Any = None
+        listener = "services" if trust_internal_headers else "callers"
+        self.handler.add_gauge(
+            f"calls_in_progress.{listener}", lambda: self.calls_in_progress
+        )
 
     def now(self) -> float:
         """Return the time in seconds."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/decision_log.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import sys
 from typing import Any, BinaryIO
 
@@ -18,6 +19,10 @@
 # most of them.
 FLUSH_DELAY_S = 0.01
 MAX_PENDING_BYTES = 64 * 1024
+# A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
+WRITE_BYTES = 4096
+# Lines beyond this are dropped while nobody reads the stream.
+MAX_STALLED_BYTES = 1024 * 1024
 
 
 class JsonLinesHandler(logbook.Handler):
@@ -29,6 +34,12 @@
         self._stream = stream
         self._encode_into = msgspec.json.Encoder().encode_into
         self._pending = bytearray()
+        self._is_scheduled = False
+        self.dropped_bytes = 0
+        try:
+            self._descriptor = stream.fileno()
+        except (OSError, ValueError):
+            self._descriptor = -1
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Add one line."""
@@ -39,24 +50,39 @@
             **record.extra,
         }
         pending = self._pending
-        if not pending:
-            self._reactor.callLater(FLUSH_DELAY_S, self.flush)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._reactor.callLater(FLUSH_DELAY_S, self._flush_scheduled)
         self._encode_into(fields, pending, -1)
         pending += b"\n"
         if len(pending) > MAX_PENDING_BYTES:
             self.flush()
 
     def flush(self) -> None:
-        """Write the collected lines; a closed stream loses them."""
-        if not self._pending:
-            return
-        lines = bytes(self._pending)
-        self._pending.clear()
+        """Write the collected lines as far as that does not block.
+
+        A closed stream loses them; a stalled one keeps up to 1 MiB for later.
+        """
+        pending = self._pending
         try:
-            self._stream.write(lines)
-            self._stream.flush()
+            while pending and self._is_writable():
+                written = self._stream.write(pending[:WRITE_BYTES])
+                self._stream.flush()
+                del pending[:written]
         except (OSError, ValueError):
-            return
+            pending.clear()
+        if len(pending) > MAX_STALLED_BYTES:
+            self.dropped_bytes += len(pending)
+            pending.clear()
+
+    def _flush_scheduled(self) -> None:
+        self._is_scheduled = False
+        self.flush()
+
+    def _is_writable(self) -> bool:
+        if self._descriptor < 0:
+            return True
+        return bool(select.select([], [self._descriptor], [], 0)[1])
 
 
 class DecisionLog:
@@ -92,6 +118,11 @@
         """Write a line about a fault that the daemon copes with."""
         self._logger.warning(event, extra=fields)
 
+    @property
+    def dropped_bytes(self) -> int:
+        """Bytes of lines that were dropped while nobody read the stream."""
+        return self._handler.dropped_bytes
+
     def flush(self) -> None:
         """Write what has been collected, for use before the process ends."""
         self._handler.flush()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -14,7 +14,7 @@
 | ``claim.STATUS`` | counter | claim decisions |
 | ``request.refused.CODE`` | counter | requests refused before routing |
 | ``signal.KIND`` | counter | draining, refused, unreachable, closed, cut upstreams |
-| ``calls_in_progress`` | gauge | calls |
+| ``calls_in_progress.callers``, ``.services`` | gauge | calls by listener |
 """
 
 from __future__ import annotations
