--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -79,8 +80,8 @@
 
     def start(
         self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
-    ) -> RunningCall | None:
-        """Serve a request; the result is None if it has been answered already."""
+    ) -> None:
+        """Serve a request and set ``exchange.call`` while it is in progress."""
         self._calls += 1
         request_id = f"{self.services.start_id}-{self._calls:x}"
         active = self.services.active()
@@ -91,7 +92,7 @@
                 request_id,
                 RETRY_AFTER_START_S,
             )
-            return None
+            return
         context = NO_CONTEXT
         try:
             if trust_internal_headers:
@@ -103,20 +104,22 @@
                 _check_key(request, route)
         except RequestError as error:
             self._answer_refusal(exchange, error, request_id)
-            return None
+            return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
             self.services, request, exchange, route, active, context, request_id
         )
-        # Known to the exchange before it may be answered or cut.
         exchange.call = call
         call.run()
-        return call
 
     def refused(self, status: int, detail: str) -> None:
         """Count a request that was refused before routing."""
         self.services.metrics.count(f"request.refused.{status}")
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value of a listener with the metrics."""
+        self.services.metrics.gauge(name, read)
+
     def probe(self, upstream: Upstream) -> Deferred[bool]:
         """Send one probe; the result tells whether it was answered with 2xx in 1 s.
 
