Fuzz the claim code and test its rules

Cause: the core code that runs in the daemon had no oracle and no features.

Faults found by the fuzzer and fixed: timers of a shard owner that were due but made no progress, because a refusal was decided before the waiting requests expired, and because a sum and a difference of times were compared.

--- /dev/null
+++ b/features/core/claims.feature
@@ -0,0 +1,172 @@
+Feature: A claim is granted at most once
+
+  Background:
+    Given claim members "a", "b" and "c" that agree on the membership
+
+  # Guards against a grant whose claim is lost with its owner.
+  Scenario: A grant waits for the commit
+    When "a" claims key 0 with body "x" for 2.0 s
+    And the claim messages arrive without store results
+    Then claim 1 is undecided
+    When 0.1 s pass in the claim world
+    Then claim 1 is told "granted"
+
+  # Guards against two runs of one key.
+  Scenario: A duplicate waits and gets the first answer
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim world
+    And "b" claims key 0 with body "x" for 2.0 s
+    And 0.5 s pass in the claim world
+    Then claim 2 is undecided
+    When claim 1 ends as "completed"
+    And 0.5 s pass in the claim world
+    Then claim 2 is told "completed"
+    And claim 2 has the answer of claim 1
+    And claim 1 is recorded
+
+  Scenario: A duplicate of a long call is told that it runs
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim world
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 1.0 s pass in the claim world
+    Then claim 2 is told "running"
+
+  Scenario: Another body for a claimed key conflicts
+    When "a" claims key 0 with body "x" for 2.0 s
+    And "b" claims key 0 with body "y" for 2.0 s
+    And 0.1 s pass in the claim world
+    Then claim 1 is told "granted"
+    And claim 2 is told "conflict"
+
+  Scenario: A released key may be claimed again
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim world
+    And claim 1 ends as "released"
+    And "b" claims key 0 with body "y" for 2.0 s
+    And 0.5 s pass in the claim world
+    Then claim 2 is told "granted"
+
+  # Guards against a second run after the runner was only paused.
+  Scenario: A lost runner leaves an unknown outcome until it reports late
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 3.0 s pass in the claim world
+    And the claim members agree on "b" and "c"
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 0.5 s pass in the claim world
+    Then claim 2 is told "unknown"
+    When claim 1 ends as "completed"
+    And the claim members agree on "a", "b" and "c"
+    And 2.0 s pass in the claim world
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 0.5 s pass in the claim world
+    Then claim 3 is told "completed"
+
+  # Guards against claims of a former process that block their keys for ever.
+  Scenario: A restarted runner leaves an unknown outcome
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.5 s pass in the claim world
+    And claim member "a" restarts
+    And "a" claims key 0 with body "x" for 1.0 s
+    And 0.5 s pass in the claim world
+    Then claim 2 is told "unknown"
+
+  # Guards against a stale owner that grants after its shard was taken over.
+  Scenario: A paused owner drops the shard when its write fails
+    When "a" claims key 0 with body "x" for 2.0 s
+    And the claim messages arrive without store results
+    And the owner of the claim shard is paused
+    And the other claim members go on without it for 0.5 s
+    Then claim 1 is told "granted"
+    And key 0 has 1 run
+    When the paused claim member returns
+    And 0.1 s pass in the claim world
+    Then the returned claim member has dropped the shard
+    And key 0 has 1 run
+
+  # Guards against a grant that is told although its write was lost, and against a batch
+  # written twice.
+  Scenario Outline: A store write without an answer is resolved first
+    When "a" claims key 0 with body "x" for 2.0 s
+    And the claim messages arrive without store results
+    And the store <event>
+    Then claim 1 is undecided
+    When 0.2 s pass in the claim world
+    Then claim 1 is told "granted"
+    And the claim shard has 1 batch
+
+    Examples:
+      | event                             |
+      | applies the write, answer lost    |
+      | loses the write                   |
+      | applies the write after a timeout |
+
+  # Guards against a caller that is told not_run whose call runs later.
+  Scenario: A late grant is released
+    When "a" claims key 0 with body "x" for 0.2 s
+    And the claim messages arrive without store results
+    And 0.25 s pass without any delivery
+    Then claim 1 is told "unavailable"
+    When 1.0 s pass in the claim world
+    Then claim 1 is told "unavailable"
+    And key 0 has 0 runs
+    When "b" claims key 0 with body "x" for 1.0 s
+    And 0.5 s pass in the claim world
+    Then claim 2 is told "granted"
+
+  # Guards against callers that wait for a store that is down.
+  Scenario: Without the store a new key is refused quickly
+    When the claim store goes down
+    And "a" claims key 0 with body "x" for 10.0 s
+    And 0.5 s pass in the claim world
+    Then claim 1 is told "unavailable"
+    When "b" claims key 1 with body "x" for 10.0 s
+    And 0.1 s pass in the claim world
+    Then claim 2 is told "unavailable"
+
+  Scenario: An owner without the store still answers known outcomes
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim world
+    And claim 1 ends as "completed"
+    And 1.0 s pass in the claim world
+    And the claim store goes down
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 0.1 s pass in the claim world
+    Then claim 2 is told "completed"
+
+  # Guards against outcomes that are lost with the owner.
+  Scenario: An outcome reaches the next owner
+    When "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim world
+    And the owner of the claim shard is paused
+    And claim 1 ends as "completed"
+    And the other claim members go on without it for 2.0 s
+    Then claim 1 is recorded
+
+  Scenario: A shard is handed over on a planned stop
+    When "a" claims key 0 with body "x" for 2.0 s
+    And the claim messages arrive without store results
+    And the owner of the claim shard hands it over
+    And 0.1 s pass in the claim world
+    Then claim 1 is told "granted"
+    And no claim member owns the shard
+
+  # Guards against a store that fills up, and against a claim deleted too early.
+  Scenario: Outcomes are deleted after the retention time, also after a takeover
+    Given a claim retention of 100 s
+    When "a" claims key 0 with body "x" for 2.0 s
+    And "a" claims key 1 with body "x" for 2.0 s
+    And 0.5 s pass in the claim world
+    And claim 1 ends as "completed"
+    And 60.0 s pass in the claim world
+    And the owner of the claim shard is paused
+    And the other claim members go on without it for 90.0 s
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 0.5 s pass in the claim world
+    Then claim 3 is told "completed"
+    When 20.0 s pass in the claim world
+    And "b" claims key 0 with body "x" for 1.0 s
+    And "b" claims key 1 with body "x" for 1.0 s
+    And 1.0 s pass in the claim world
+    Then claim 4 is told "granted"
+    And claim 5 is told "running"
+    And the claim shard has at most 3 batches
--- a/fuzz/claim_world.py
+++ b/fuzz/claim_world.py
@@ -102,6 +102,9 @@
     told: ClaimStatus | None = None
     answer: StoredAnswer | None = None
     runs: int = 0
+    ran_at: float = 0.0
+    outcome: ClaimOutcome | None = None
+    finished_at: float = 0.0
     is_recorded: bool = False
 
 
@@ -110,6 +113,7 @@
     """One daemon process with the owner of the world's shard and a runner."""
 
     member_id: str
+    instance: str
     owner: ShardOwner
     runner: ClaimRunner
     view: frozenset[str] = frozenset()
@@ -119,10 +123,14 @@
 
 @dataclass
 class StoreOperation:
-    """An operation on its way; ``process`` may have crashed since."""
+    """An operation on its way; ``process`` may have crashed since.
+
+    ``result`` is set when the store has carried it out and the answer is on its way.
+    """
 
     process: Process
     effect: StoreEffect
+    result: StoreResult | None = None
 
 
 @dataclass
@@ -147,7 +155,6 @@
     messages: list[Envelope] = field(default_factory=list)
     calls_by_id: dict[str, Call] = field(default_factory=dict)
     runs_by_key: Counter[str] = field(default_factory=Counter)
-    released: set[str] = field(default_factory=set)
     is_store_up: bool = True
 
     def __post_init__(self) -> None:
@@ -163,7 +170,7 @@
         instance = f"i{self.instances}"
         owner = ShardOwner(self.shard, member_id, instance, self.retention_s, self.rng)
         runner = ClaimRunner(member_id, instance, 16_384)
-        return Process(member_id, owner, runner)
+        return Process(member_id, f"{member_id}.{instance}", owner, runner)
 
     @property
     def shard(self) -> int:
@@ -194,8 +201,8 @@
         if first == process.member_id and owner.is_idle:
             effects.extend(owner.take(self.now))
         effects.extend(owner.set_members(self.now, process.view))
-        self._apply(process, effects)
-        self._apply(process, process.runner.set_members(self.now, process.view))
+        self.apply(process, effects)
+        self.apply(process, process.runner.set_members(self.now, process.view))
 
     def pause(self, member_id: str) -> None:
         """Stop a process; messages and results for it wait."""
@@ -230,7 +237,7 @@
         for component in (process.owner, process.runner):
             wake = component.next_wake()
             if wake is not None and wake <= self.now:
-                self._apply(process, component.tick(self.now))
+                self.apply(process, component.tick(self.now))
                 wake = component.next_wake()
                 assert wake is None or wake > self.now, "timer does not make progress"
 
@@ -256,25 +263,30 @@
         match envelope.message:
             case ClaimRequest() | ClaimComplete() as message:
                 sender = envelope.sender
-                self._apply(process, process.owner.receive(self.now, sender, message))
+                self.apply(process, process.owner.receive(self.now, sender, message))
             case ClaimReply() | ClaimCompleteAck() as message:
-                self._apply(process, process.runner.receive(self.now, message))
+                self.apply(process, process.runner.receive(self.now, message))
 
     def lose_message(self, index: int) -> None:
         """Drop a message."""
         del self.messages[index]
 
     def apply_operation(self, index: int) -> None:
-        """Carry out a store operation and answer it."""
-        if self.is_store_up and not self.operations[index].process.is_paused:
-            operation = self.operations.pop(index)
-            self._answer(operation, self.store.apply(operation.effect))
+        """Carry out a store operation and answer it unless its process is paused."""
+        operation = self.operations[index]
+        if operation.result is None and self.is_store_up:
+            operation.result = self.store.apply(operation.effect)
+        if operation.result is not None and not operation.process.is_paused:
+            del self.operations[index]
+            self._answer(operation, operation.result)
 
     def lose_answer(self, index: int) -> None:
         """Carry out a store operation whose answer is lost."""
-        if self.is_store_up and not self.operations[index].process.is_paused:
-            operation = self.operations.pop(index)
-            self.store.apply(operation.effect)
+        operation = self.operations[index]
+        if self.is_store_up and not operation.process.is_paused:
+            del self.operations[index]
+            if operation.result is None:
+                self.store.apply(operation.effect)
             self._answer(operation, unknown_result(operation.effect))
 
     def lose_operation(self, index: int) -> None:
@@ -293,7 +305,7 @@
     def _answer(self, operation: StoreOperation, result: StoreResult) -> None:
         process = operation.process
         if process.is_alive:
-            self._apply(process, process.owner.handle(self.now, result))
+            self.apply(process, process.owner.handle(self.now, result))
 
     def settle(self, seconds: float = 0.0) -> None:
         """Deliver everything in order, and let ``seconds`` pass on the way."""
@@ -310,7 +322,7 @@
     def _deliver_one(self) -> bool:
         for index, operation in enumerate(self.operations):
             if not operation.process.is_paused:
-                if self.is_store_up:
+                if self.is_store_up or operation.result is not None:
                     self.apply_operation(index)
                 else:
                     self.lose_operation(index)
@@ -329,7 +341,7 @@
         attempt_id, effects = process.runner.claim(self.now, "desk", key, body, wait_s)
         call = Call(attempt_id, member_id, key, body)
         self.calls_by_id[attempt_id] = call
-        self._apply(process, effects)
+        self.apply(process, effects)
         return call
 
     def finish(self, call: Call, outcome: ClaimOutcome) -> None:
@@ -339,14 +351,16 @@
             # The upstream stated that it did not run the call.
             call.runs -= 1
             self.runs_by_key[call.key] -= 1
-            self.released.add(call.attempt_id)
+        call.outcome = outcome
+        call.finished_at = self.now
         answer = ANSWER if outcome is ClaimOutcome.COMPLETED else None
         effects = process.runner.complete(self.now, call.attempt_id, outcome, answer)
-        self._apply(process, effects)
+        self.apply(process, effects)
 
-    def _apply(
+    def apply(
         self, process: Process, effects: Iterable[OwnerEffect | RunnerEffect]
     ) -> None:
+        """Carry out the effects of a process."""
         for effect in effects:
             match effect:
                 case Send(to=to, message=message):
@@ -356,8 +370,7 @@
                 case Decided():
                     self._decide(effect)
                 case Recorded(attempt_id=attempt_id):
-                    if attempt_id in self.calls_by_id:
-                        self.calls_by_id[attempt_id].is_recorded = True
+                    self.calls_by_id[attempt_id].is_recorded = True
 
     def _decide(self, decided: Decided) -> None:
         call = self.calls_by_id[decided.attempt_id]
@@ -366,4 +379,5 @@
         call.answer = decided.answer
         if decided.status is ClaimStatus.GRANTED:
             call.runs += 1
+            call.ran_at = self.now
             self.runs_by_key[call.key] += 1
--- a/model/claims.py
+++ b/model/claims.py
@@ -12,8 +12,8 @@
 a lapsed ownership are the same step, because both forget everything.
 
 An owner is ``idle``, ``pending`` (a takeover or a batch is unresolved) or ``ready``.
-An attempt is ``waiting``, ``granted``, ``running``, ``completed``, ``not_run`` (told to the
-caller) or ``crashed``.
+An attempt is ``waiting``, ``granted``, ``running``, ``completed``, ``not_run`` (told to
+the caller) or ``crashed``.
 """
 
 from __future__ import annotations
--- a/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_log.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_log.py
@@ -136,9 +136,9 @@
         """Time of the next retry."""
         return self._retry_at
 
-    def blocked_s(self, now: float) -> float:
-        """Return for how long the current operation has been without a result."""
-        return 0.0 if self.blocked_since is None else now - self.blocked_since
+    def is_blocked(self, now: float, limit_s: float) -> bool:
+        """Whether the current operation has been without a result for ``limit_s``."""
+        return self.blocked_since is not None and now >= self.blocked_since + limit_s
 
     def open(self, now: float) -> list[StoreEffect]:
         """Start the takeover."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_owner.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_owner.py
@@ -196,12 +196,12 @@
             self._retake_at = None
             effects.extend(self.drop() if self._is_leaving else self._log.open(now))
         effects.extend(self._log.tick(now))
-        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
-            effects.extend(self._refuse_pending())
-        effects.extend(self._expire_waiters(now))
         if self._check_runners_at is not None and now >= self._check_runners_at:
             self._check_runners_at = None
             effects.extend(self._mark_lost_runners(now))
+        effects.extend(self._expire_waiters(now))
+        if self._log.is_blocked(now, UNAVAILABLE_AFTER_S):
+            effects.extend(self._refuse_pending())
         if self._log.can_write:
             self._table.expire(now, self.retention_s)
             effects.extend(self._write(now))
@@ -228,7 +228,7 @@
         if self._log.is_loaded:
             lost = self._mark_former_instance(now, sender, request.attempt_id)
             return [*lost, *self._request(now, waiter)]
-        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
+        if self._log.is_blocked(now, UNAVAILABLE_AFTER_S):
             return [waiter.reply(ClaimStatus.UNAVAILABLE)]
         self._early.add(waiter)
         return []
@@ -251,7 +251,7 @@
                 return self._tell(waiter, claim, ClaimStatus.UNKNOWN)
 
     def _claim(self, now: float, waiter: Waiter) -> list[OwnerEffect]:
-        if self._log.blocked_s(now) >= UNAVAILABLE_AFTER_S:
+        if self._log.is_blocked(now, UNAVAILABLE_AFTER_S):
             return [waiter.reply(ClaimStatus.UNAVAILABLE)]
         claim = ClaimRecord(
             waiter.key,
