Repeat a coordinator's announcement to gateways that stay silent

Cause: a gateway that has no text yet drops the announcement, and none follows. In a fleet of 14 daemons started together, 13 stayed on their local share of the loaded service for good, so the permits were not used at all.

Change: the coordinator announces itself again every 500 ms to members that have not reported their holdings. A new end-to-end scenario demands that every daemon names the same coordinator. The measurement waits for the ramp of new upstreams before it starts its load.

--- a/features/steps/e2e_fleet_steps.py
+++ b/features/steps/e2e_fleet_steps.py
@@ -108,6 +108,17 @@
     wait_until(quiet, f"no new work at {upstream}", limit, poll_s=0.5)
 
 
+@then('every daemon names the same coordinator of service "{service}"')
+def step_same_coordinator(context, service):
+    wanted = {context.fleet.coordinator(service)}
+
+    def seen():
+        statuses = [context.fleet.try_status(item) for item in context.fleet.daemon_ids]
+        return {status.get(service, {}).get("coordinator") for status in statuses}
+
+    wait_until(lambda: seen() == wanted, f"coordinator {wanted}", LIMIT_S)
+
+
 @when('the daemon that coordinates service "{service}" is killed')
 def step_kill_coordinator(context, service):
     context.killed = context.fleet.coordinator(service)
--- a/packages/banyanshelf-bench/src/banyanshelf_bench/measure.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/measure.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,9 @@
 from banyanshelf_bench.scenarios import SCENARIO_BY_NAME
 
 RESULTS = Path("docs/measurements")
+# New upstreams ramp up from one slot over 5 s. Full load meanwhile builds up
+# a queue that lasts longer than the warm-up.
+RAMP_S = 6.0
 
 
 def measure(
@@ -49,6 +53,7 @@
     )
     shape = options.deployment.shape(daemons, policy, mean_ms=options.mean_ms)
     with running_fleet(shape) as fleet:
+        time.sleep(RAMP_S)
         result = SCENARIO_BY_NAME[scenario](BenchRun(options, fleet))
     result = {"command": command(options), **described(options), **result}
     print_result(result)
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
@@ -36,6 +36,8 @@
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 COLLECT_S = 0.3
+# A gateway without a text drops an announcement and would stay on its local share.
+ANNOUNCE_REPEAT_S = 0.5
 # Medians, ramps and ends of ejections; at 400 upstreams one refresh takes 1.3 ms.
 REFRESH_S = 0.25
 
@@ -73,6 +75,7 @@
         self._probes_by_id: dict[UpstreamId, float] = {}
         self._refreshed_at = now
         self._collecting_until: float | None = now + COLLECT_S
+        self._repeat_announce_at = now + ANNOUNCE_REPEAT_S
         for member_id in zones_by_member:
             self.ledger.accounts_by_member[member_id] = Account()
         self.health.set_upstreams(now, upstreams_by_id)
@@ -225,8 +228,19 @@
             self.health.refresh(now)
             effects += self._readmit(now)
             self._choice.rebuild(now)
+        effects += self._announce_to_silent(now)
         return effects + self._serve(now) + self._granting.refresh_waiting(now)
 
+    def _announce_to_silent(self, now: float) -> list[CoordinatorEffect]:
+        if now < self._repeat_announce_at:
+            return []
+        self._repeat_announce_at = now + ANNOUNCE_REPEAT_S
+        return [
+            Send(member_id, self._announce())
+            for member_id, account in self.ledger.accounts_by_member.items()
+            if not account.reported
+        ]
+
     def waiting_count(self) -> int:
         """Return how many calls wait at all gateways."""
         return sum(
