--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from types import SimpleNamespace
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock
 
 from banyanshelf_core.messages import AnswerSample
@@ -132,6 +132,7 @@
                 upstream_id, "desk", "127.0.0.1:1", f"zone-{number % zones}", slots
             )
         self.session_by_pair = Counter()
+        self.incarnations = Counter()
         self.down = set()
         self.sent = Counter()
         self.running = Counter()
@@ -139,6 +140,7 @@
         self.permitted = Counter()
         self.answered = self.refused = self.started = 0
         self.waiting = {}
+        self.waits = []
         self.service_time = lambda upstream_id: self.rng.expovariate(1 / 0.02)
         self.kind = lambda upstream_id: "answered"
         self.probes = []
@@ -170,7 +172,7 @@
     def deliver(self, sender, receiver, message):
         """Deliver a message after the latency; False without a link."""
         pair = frozenset((sender, receiver))
-        if pair in self.down:
+        if pair in self.down or receiver not in self.gateways:
             return False
         self.sent[type(message).__name__] += 1
         gateway = self.gateways[receiver]
@@ -186,14 +188,19 @@
         self.session_by_pair[pair] += 1
         (self.down.discard if is_up else self.down.add)(pair)
         for own, other in ((first, second), (second, first)):
-            gateway = self.gateways[own]
+            gateway = self.gateways.get(own)
+            if gateway is None:
+                continue
             for handler in gateway.link_handlers:
                 gateway.clock.fire(handler, (other, is_up))
 
-    def set_members(self, member_ids):
-        """Replace the live members everywhere."""
+    def set_members(self, member_ids, renewed=frozenset()):
+        """Replace the live members; ``renewed`` ones have taken a new incarnation."""
+        self.incarnations.update(renewed)
         self.members = {
-            key: Member(key, "127.0.0.1:1", self.gateways[key].zone, 1)
+            key: Member(
+                key, "127.0.0.1:1", self.gateways[key].zone, 1 + self.incarnations[key]
+            )
             for key in member_ids
         }
         for member_id in member_ids:
@@ -237,13 +244,16 @@
         )
         outcome = SimpleNamespace(permit=None, refused=None)
 
+        arrived = self.clock.seconds()
+
         def on_permit(permit):
             outcome.permit = permit
+            self.waits.append(self.clock.seconds() - arrived)
             self.waiting.pop(number)
             self.start_call(gateway, permit)
 
         def on_refused(failure):
-            failure.trap(NotAdmittedError)
+            failure.trap(NotAdmittedError, CancelledError)
             outcome.refused = failure.value
             self.waiting.pop(number)
             self.refused += 1
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Contract
 
@@ -45,12 +46,15 @@
 
     def start(
         self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
-    ) -> RunningCall | None:
-        """Serve a request; the result is None if it has been answered already."""
+    ) -> None:
+        """Serve a request and set ``exchange.call`` while it is in progress."""
 
     def refused(self, status: int, detail: str) -> None:
         """Note a request that was refused before routing."""
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value with the metrics."""
+
 
 class Exchange:
     """One request's way to answer; it has no effect once it is over.
@@ -145,6 +149,8 @@
 
     def _end(self, connection: CallerConnection, close: bool) -> None:
         self._connection = None
+        # The call refers to this exchange; a cycle would be left to the collector.
+        self.call = None
         self.producer = None
         connection.exchange_over(close=close)
 
@@ -178,16 +184,15 @@
             return
         reader = self._reader
         was_idle = reader.is_idle
-        had_head = not reader.in_head
+        was_in_head = reader.in_head
         reader.feed(data)
-        if self._exchange is None or self._is_serving:
+        if self._exchange is None:
             self._serve()
         if reader.is_idle:
             if self._exchange is None:
                 self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
-        elif was_idle or (had_head != (not reader.in_head)):
-            timeout_s = HEAD_TIMEOUT_S if reader.in_head else BODY_TIMEOUT_S
-            self._deadline = self.factory.now() + timeout_s
+        elif was_idle or was_in_head != reader.in_head:
+            self._deadline = self.factory.now() + self._receive_timeout_s()
         if reader.received and not self._is_read_paused:
             # Read on when the requests that are waiting have been served.
             self._is_read_paused = True
@@ -227,8 +232,8 @@
         if close or self._is_closing:
             self.close()
             return
-        if self._reader.is_idle:
-            self._deadline = self.factory.now() + KEEP_ALIVE_TIMEOUT_S
+        # Reading may have been paused during the call.
+        self._deadline = self.factory.now() + self._receive_timeout_s()
         if not self._is_serving:
             self._serve()
 
@@ -236,9 +241,15 @@
         """Close after everything written has been sent."""
         if not self._is_closing:
             self._is_closing = True
+            self._deadline = self.factory.now() + SLOW_READER_TIMEOUT_S
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has been received in part."""
+        return not (self._reader.is_idle or self._is_closing)
+
     def close_if_idle(self) -> None:
         """Close unless a request is being received or served."""
         if self._exchange is None and self._reader.is_idle:
@@ -248,14 +259,19 @@
         """Close a connection that is idle, or too slow to send or to read."""
         if now < self._deadline:
             return
-        if self.is_write_paused:
+        if self.is_write_paused or self._is_closing:
             self.transport.abortConnection()
-        elif self._exchange is None and not self._is_closing:
+        elif self._exchange is None:
             if self._reader.is_idle:
                 self.close()
             else:
                 self._refuse(RequestError(408, "the request arrived too slowly"))
 
+    def _receive_timeout_s(self) -> float:
+        if self._reader.is_idle:
+            return KEEP_ALIVE_TIMEOUT_S
+        return HEAD_TIMEOUT_S if self._reader.in_head else BODY_TIMEOUT_S
+
     def _serve(self) -> None:
         # A loop, as a long pipeline of refused requests would nest too deeply.
         self._is_serving = True
@@ -271,7 +287,7 @@
             request = reader.received.popleft()
             exchange = self._exchange = Exchange(self, request)
             self.factory.call_begun()
-            exchange.call = self.factory.handler.start(
+            self.factory.handler.start(
                 request,
                 exchange,
                 trust_internal_headers=self.factory.trust_internal_headers,
@@ -313,6 +329,10 @@
         self._reactor = handler.reactor
         self._connections: set[CallerConnection] = set()
         self._sweep_call: Any = None
+        listener = "services" if trust_internal_headers else "callers"
+        self.handler.add_gauge(
+            f"calls_in_progress.{listener}", lambda: self.calls_in_progress
+        )
 
     def now(self) -> float:
         """Return the time in seconds."""
@@ -325,8 +345,8 @@
     def stop_accepting(self) -> Deferred[None]:
         """Close each connection after its current call.
 
-        The result, also available as ``drained``, fires once no call is in progress;
-        idle connections are closed then.
+        The result, also available as ``drained``, fires once no call is in progress
+        and no request has been received in part; idle connections are closed then.
         """
         if not self.is_stopping:
             self.is_stopping = True
@@ -345,6 +365,8 @@
     def remove(self, connection: CallerConnection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        if self.is_stopping:
+            self._check_drained()
 
     def call_begun(self) -> None:
         """Count a call."""
@@ -359,9 +381,11 @@
     def _check_drained(self) -> None:
         if self.calls_in_progress or self.drained.called:
             return
+        if any(connection.is_receiving for connection in self._connections):
+            return
+        self.drained.callback(None)
         for connection in list(self._connections):
             connection.close_if_idle()
-        self.drained.callback(None)
 
     def _sweep(self) -> None:
         self._sweep_call = None
