--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -48,6 +47,7 @@
     MembershipSource,
     PeerNetwork,
 )
+from banyanshelf_daemon.own_mailbox import OwnMailbox
 from banyanshelf_daemon.settings import Settings
 
 log = Logger("claims")
@@ -118,8 +118,7 @@
         self._wake_times: list[float | None] = [None] * (SHARD_COUNT + 1)
         self._wake_call: IDelayedCall | None = None
         self._wake_at = 0.0
-        self._local_messages: deque[PeerMessage] = deque()
-        self._is_delivering = False
+        self._mailbox = OwnMailbox(self._receive_own)
         self._decisions_by_id: dict[str, Deferred[ClaimDecision]] = {}
         self._records_by_id: dict[str, Deferred[None]] = {}
         self._handed_over: list[Deferred[None]] = []
@@ -263,7 +262,7 @@
         for effect in effects:
             match effect:
                 case Send(to=to, message=message) if to == self._member_id:
-                    self._local_messages.append(message)
+                    self._mailbox.put(message)
                 case Send(to=to, message=message):
                     # Without a link the message is lost; the runner repeats it.
                     self._network.send(to, message)
@@ -278,23 +277,15 @@
                     if recorded is not None:
                         recorded.callback(None)
         self._schedule(component)
-        self._deliver_local_messages()
+        self._mailbox.deliver()
         self._check_progress()
 
-    def _deliver_local_messages(self) -> None:
-        """Deliver messages to this daemon itself, one after the other."""
-        if self._is_delivering:
-            return
-        self._is_delivering = True
-        try:
-            while self._local_messages:
-                match self._local_messages.popleft():
-                    case ClaimRequest() | ClaimComplete() as message:
-                        self._receive_at_owner(self._member_id, message)
-                    case ClaimReply() | ClaimCompleteAck() as message:
-                        self._receive_at_runner(self._member_id, message)
-        finally:
-            self._is_delivering = False
+    def _receive_own(self, message: PeerMessage) -> None:
+        match message:
+            case ClaimRequest() | ClaimComplete():
+                self._receive_at_owner(self._member_id, message)
+            case ClaimReply() | ClaimCompleteAck():
+                self._receive_at_runner(self._member_id, message)
 
     def _decide(self, decided: Decided) -> None:
         decision = self._decisions_by_id.pop(decided.attempt_id, None)
