Sharpen the permit scenarios

Change: scenarios for holdings that cross a grant, grants during a new session, spare permits during contention, the zone preference, repeated recalls and the request for a spare permit; a message belongs to the session that its sender has seen.

--- a/features/core/permits_coordinator.feature
+++ b/features/core/permits_coordinator.feature
@@ -11,11 +11,11 @@
     And the desk coordinator has granted "nothing" to "g2"
 
   Scenario: An upstream in the gateway's zone goes first until it is full
-    Given a coordinator for service desk of upstreams "a:huye:1 b:moka:1 c:moka:1" and "g1:huye g2:moka"
+    Given a coordinator for service desk of upstreams "a:huye:9 b:moka:2 c:huye:9" and "g1:huye g2:moka"
     When the desk coordinator hears that "g2" has 2 calls waiting
-    Then the desk coordinator has granted "b c" to "g2"
-    When the desk coordinator hears that "g2" has 1 calls waiting
-    Then the desk coordinator has granted "a b c" to "g2"
+    Then the desk coordinator has granted "b b" to "g2"
+    When the desk coordinator hears that "g2" has 18 calls waiting
+    Then the desk coordinator has granted 18 permits of "a" or "c"
 
   # Guards against permits granted twice for one call when messages cross.
   Scenario: A call whose grant is on its way is not granted a second permit
@@ -62,6 +62,11 @@
     And the desk coordinator hears that "g1" wants 1 spare permits
     Then the desk coordinator has granted "a" to "g1"
     And the desk coordinator has granted "a a" to "g2"
+    When the desk coordinator gets "a a" back from "g2"
+    And the desk coordinator hears that "g1" wants 1 spare permits
+    Then the desk coordinator has granted "a" to "g1"
+    When the desk coordinator's clock advances 0.125 s
+    Then the desk coordinator has granted "a a" to "g1"
 
   Scenario: A permit that every waiting call excludes is not granted
     Given a coordinator for service desk of upstreams "a:huye:1 b:moka:1" and "g1:huye"
@@ -110,9 +115,20 @@
     And the desk coordinator loses the link to "g2" and gets it back
     And the desk coordinator hears that "g1" has 1 calls waiting
     Then the desk coordinator has granted "nothing" to "g1"
-    When the desk coordinator gets holdings of "a" from "g2"
+    When the desk coordinator gets "a" back from "g2"
+    And the desk coordinator hears that "g2" has 1 calls waiting
     Then the desk coordinator has granted "a" to "g1"
-    And the desk coordinator counts 2 permits of "a"
+    And the desk coordinator has granted "a a" to "g2"
+    When the desk coordinator gets "a" back from "g1"
+    Then the desk coordinator has granted "a a" to "g2"
+    When the desk coordinator gets holdings of "a" from "g2"
+    Then the desk coordinator counts 1 permits of "a"
+
+  Scenario: Holdings within a session do not hide grants on their way
+    Given a coordinator for service desk of upstreams "a:huye:2" and "g1:huye"
+    When the desk coordinator hears that "g1" has 2 calls waiting
+    And the desk coordinator gets holdings from "g1" of before its grant
+    Then the desk coordinator counts 2 permits of "a"
 
   Scenario: A grant that found no link is taken back
     Given a coordinator for service desk of upstreams "a:huye:1" and "g1:huye g2:huye"
@@ -125,6 +141,7 @@
     Given a coordinator for service desk of upstreams "a:huye:2" and "g1:huye"
     When the desk coordinator hears that "g1" has 1 calls waiting
     And the desk coordinator hears that upstream "a" is leaving
+    And the desk coordinator hears that upstream "a" is leaving
     And the desk coordinator hears that "g1" has 1 calls waiting
     Then the desk coordinator has granted 1 permits of "a"
     And the desk coordinator recalls 1 permits of "a" from "g1"
--- a/features/core/permits_holder.feature
+++ b/features/core/permits_holder.feature
@@ -23,6 +23,14 @@
     When the g1 holder's clock advances 2.5 s
     Then the g1 holder keeps "a" idle
 
+  Scenario: Taking the last idle permit asks for a spare one
+    Given a holder of gateway g1 for upstreams "a:huye:3 b:huye:3"
+    When the g1 holder gets calls "first"
+    And the g1 holder is granted "a b"
+    And the g1 holder gets calls "second"
+    Then the g1 holder has assigned "first:a second:b"
+    And the g1 holder has asked for 1 spare permits
+
   Scenario: A recall collects idle permits, and those in use of a named upstream
     Given a holder of gateway g1 for upstreams "a:huye:3 b:huye:3"
     When the g1 holder gets calls "first second"
--- a/features/steps/permit_coordinator_steps.py
+++ b/features/steps/permit_coordinator_steps.py
@@ -154,6 +154,12 @@
     context.desk.hold(gateway, "" if permits == "nothing" else permits)
 
 
+@when('the desk coordinator gets holdings from "{gateway}" of before its grant')
+def step_holdings_before(context, gateway):
+    context.desk.received[gateway] = 0
+    context.desk.hold(gateway)
+
+
 @when('the desk coordinator learns {count:d} times that "{name}" {kind} in {ms:d} ms')
 def step_samples(context, count, name, kind, ms):
     for _ in range(count):
@@ -225,9 +231,13 @@
     assert context.desk.grants[gateway] == expected, context.desk.grants
 
 
-@then('the desk coordinator has granted {count:d} permits of "{name}"')
-def step_granted_count(context, count, name):
-    granted = sum(each[name] for each in context.desk.grants.values())
+@then('the desk coordinator has granted {count:d} permits of "{names}"')
+def step_granted_count(context, count, names):
+    granted = sum(
+        each[name]
+        for each in context.desk.grants.values()
+        for name in names.split('" or "')
+    )
     assert granted == count, context.desk.grants
 
 
--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -63,6 +63,7 @@
         self.member_handlers = []
         self.upstream_handlers = []
         self.view = {}
+        self.session_by_peer = Counter()
         self.text = ActiveText(1, "digest", parse_text(text))
         self.coordination = Coordination(
             self.clock,
@@ -106,10 +107,16 @@
 
     def receive(self, sender, session, message):
         """Handle a message unless its session is over."""
-        if self.fleet.session_by_pair[frozenset((sender, self.id))] == session:
+        if self.session_by_peer[sender] == session:
             for handler in self.handlers[type(message)]:
                 handler(sender, message)
 
+    def see_link(self, peer, session, is_up):
+        """Notice a link change, which may be long after it happened."""
+        self.session_by_peer[peer] = session
+        for handler in self.link_handlers:
+            handler(peer, is_up)
+
     def set_view(self, members):
         """Replace the live members as this gateway sees them."""
         self.view = dict(members)
@@ -176,7 +183,7 @@
             return False
         self.sent[type(message).__name__] += 1
         gateway = self.gateways[receiver]
-        session = self.session_by_pair[pair]
+        session = self.gateways[sender].session_by_peer[receiver]
         gateway.clock.callLater(LATENCY_S, gateway.receive, sender, session, message)
         return True
 
@@ -191,8 +198,8 @@
             gateway = self.gateways.get(own)
             if gateway is None:
                 continue
-            for handler in gateway.link_handlers:
-                gateway.clock.fire(handler, (other, is_up))
+            session = self.session_by_pair[pair]
+            gateway.clock.fire(gateway.see_link, (other, session, is_up))
 
     def set_members(self, member_ids, renewed=frozenset()):
         """Replace the live members; ``renewed`` ones have taken a new incarnation."""
--- a/features/steps/permit_holder_steps.py
+++ b/features/steps/permit_holder_steps.py
@@ -243,3 +243,9 @@
         names = Counter({each.upstream: each.count for each in found})
         wanted = Counter([] if expected == "nothing" else expected.split())
         assert names == wanted, report
+
+
+@then("the g1 holder has asked for {count:d} spare permits")
+def step_spare(context, count):
+    asked = sum(getattr(each, "spare", 0) for each in context.held.sent)
+    assert asked == count, context.held.sent
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -87,8 +87,8 @@
         """Assign an idle permit to a call, queue the call, or refuse it."""
         upstream_id = self.take_idle(now, call.caller_service, call.excluded)
         if upstream_id is not None:
-            epoch_number = self.epoch.number
-            return (Assign(call.call_id, upstream_id, epoch_number, IDLE_PERMIT, 1),)
+            number = self.epoch.number
+            return (Assign(call.call_id, upstream_id, number, IDLE_PERMIT, 1),)
         if only_idle:
             return (Refuse(call.call_id, "no idle permit", SHORTEST_RETRY_AFTER_S),)
         if not self.local.has_candidate(call.excluded):
@@ -117,10 +117,9 @@
         This is the common case of :meth:`acquire` without its effects.
         """
         counts = self.counts
-        if not counts.idle_total:
-            return None
-        if self._reach.have_permits_lapsed(now):
+        if counts.idle_total and self._reach.have_permits_lapsed(now):
             self.drop_idle()
+        if not counts.idle_total:
             return None
         upstream_id = self.local.pick_idle(counts.idle, excluded)
         if upstream_id is None:
@@ -275,7 +274,6 @@
         upstream_id: UpstreamId,
         reason: str,
         candidates: int,
-        *,
         is_local: bool = False,
     ) -> Assign:
         self.queue.in_use_by_caller[call.caller_service] += 1
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -124,9 +124,7 @@
         Calls in progress go on; further calls are still admitted.
         """
         self._network.broadcast(self._roles.leave())
-        for holder in self.holders_by_service.values():
-            holder.drain()
-        self._router.flush()
+        self._router.drain()
 
     def stop(self) -> None:
         """Refuse waiting calls and hand back idle permits."""
@@ -138,9 +136,7 @@
         for waiting in list(self._waiting_by_id.values()):
             waiting.deferred.errback(NotAdmittedError("this gateway stops", 1.0))
         self._waiting_by_id.clear()
-        for holder in self.holders_by_service.values():
-            holder.drain()
-        self._router.flush()
+        self._router.drain()
 
     def acquire(
         self, service_name: ServiceName, request: PermitRequest
@@ -155,6 +151,7 @@
         if self._baselines is not None:
             return self._admit_at_once(self._baselines, service_name, request)
         caller_service = request.caller_service
+        idle = len(holder.counts.idle)
         upstream_id = holder.take_idle(now, caller_service, request.excluded)
         if upstream_id is not None:
             if holder.wants_flush:
@@ -163,8 +160,8 @@
             self._running_by_number[call_id] = RunningPermit(
                 service_name, caller_service
             )
-            epoch_number = holder.epoch.number
-            return succeed(Permit(upstream, epoch_number, IDLE_PERMIT, 1, call_id))
+            epoch = holder.epoch.number
+            return succeed(Permit(upstream, epoch, IDLE_PERMIT, idle, call_id))
         deferred: Deferred[Permit] = Deferred(self._on_cancelled)
         deferred.call_id, deferred.service_name = call_id, service_name
         call = WaitingCall(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/effect_router.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/effect_router.py
@@ -73,6 +73,12 @@
             self._is_flush_scheduled = True
             self._reactor.callLater(0, self.flush)
 
+    def drain(self) -> None:
+        """Hand back all idle permits and keep none from here on."""
+        for holder in self.holders_by_service.values():
+            holder.drain()
+        self.flush()
+
     def flush(self) -> None:
         """Send what the holders have to tell."""
         self._is_flush_scheduled = False
