Draw the claim instance from the system and widen the fuzzers

Cause: the process instance in attempt ids came from the daemon's seeded random source. A daemon restarted with the same seed and member id made the attempt ids of its former process again and was granted its claims, which may have run: a second run of a key.

Change: ClaimTask takes the instance from the secrets module; a scenario restarts a daemon with the same seed.

Conclusion: attempt ids no longer depend on the seed.

--- a/features/daemon/claim_task.feature
+++ b/features/daemon/claim_task.feature
@@ -58,3 +58,21 @@
     And each daemon claims the key "one"
     And 0.5 s pass for the claim tasks
     Then 1 claim of the tasks is decided as "granted"
+
+  # Guards against a second run: with equal attempt ids, the claim of the former process
+  # was granted to the new one.
+  Scenario Outline: A restarted daemon does not get the claims of its former process
+    When daemon 1 claims the key <key>
+    And 0.5 s pass for the claim tasks
+    Then 1 claim of the tasks is decided as "granted"
+    When daemon 1 is restarted with the same seed
+    And 1.0 s pass for the claim tasks
+    And daemon 1 claims the key <key>
+    And 1.0 s pass for the claim tasks
+    Then 1 claim of the tasks is decided as "unknown"
+
+    Examples:
+      | key  |
+      | one  |
+      | two  |
+      | four |
--- a/features/steps/claim_task_steps.py
+++ b/features/steps/claim_task_steps.py
@@ -70,6 +70,7 @@
         self.store = SlowStore(self.clock)
         self.members = {}
         self.tasks = {}
+        self.links = {}
         self.handlers = {}
         self.member_handlers = []
 
@@ -92,8 +93,11 @@
     def __init__(self, daemons, member_id):
         self.daemons = daemons
         self.member_id = member_id
+        self.is_cut = False
 
     def send(self, to, message):
+        if self.is_cut:
+            return False
         assert to != self.member_id, "a message to itself went through the network"
         handler = self.daemons.handlers[to, type(message)]
         self.daemons.clock.callLater(0.001, handler, self.member_id, message)
@@ -114,21 +118,27 @@
     )
 
 
+def new_task(daemons, name):
+    daemons.links[name] = Link(daemons, name)
+    rng = random.Random(name)
+    return ClaimTask(
+        daemons.clock,
+        settings(name),
+        daemons,
+        daemons,
+        daemons.links[name],
+        daemons.store,
+        rng,
+    )
+
+
 @given("{count:d} daemons with claim tasks on one clock")
 def step_daemons(context, count):
     daemons = context.daemons = Daemons()
     names = [f"gateway-{number}" for number in range(1, count + 1)]
     daemons.members = {name: Member(name, "127.0.0.1:1", "Huye", 1) for name in names}
-    for number, name in enumerate(names):
-        daemons.tasks[name] = ClaimTask(
-            daemons.clock,
-            settings(name),
-            daemons,
-            daemons,
-            Link(daemons, name),
-            daemons.store,
-            random.Random(number),
-        )
+    for name in names:
+        daemons.tasks[name] = new_task(daemons, name)
     for task in daemons.tasks.values():
         task.start()
     context.decisions = []
@@ -192,6 +202,20 @@
     context.daemons.store.failure = None
 
 
+@when("daemon 1 claims the key {key:w}")
+def step_claim_at_first(context, key):
+    context.decisions = []
+    claim(context, context.daemons.tasks["gateway-1"], key)
+
+
+@when("daemon 1 is restarted with the same seed")
+def step_restart(context):
+    daemons = context.daemons
+    daemons.links["gateway-1"].is_cut = True
+    daemons.tasks["gateway-1"] = new_task(daemons, "gateway-1")
+    daemons.tasks["gateway-1"].start()
+
+
 @when("daemon 1 hands its claim shards over")
 def step_hand_over(context):
     context.handed_over = context.daemons.tasks["gateway-1"].hand_over()
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -1,20 +1,23 @@
 """Steps that run the state machines with a fixed seed."""
 
 from behave import then, when
-from fuzz.claim_machine import ClaimMachine
-from fuzz.run import run_machine
+from fuzz.run import MACHINES, run_machine
 
+MACHINE_BY_NAME = {"claim": "claims", "configuration": "configuration"}
 
-@when("the claim machine runs {count:d} examples of {steps:d} steps with seed {seed:d}")
-def step_run_claims(context, count, steps, seed):
+
+@when(
+    "the {name} machine runs {count:d} examples of {steps:d} steps with seed {seed:d}"
+)
+def step_run_machine(context, name, count, steps, seed):
     context.fault = None
     try:
-        run_machine(ClaimMachine, seed, count, steps)
+        run_machine(MACHINES[MACHINE_BY_NAME[name]], seed, count, steps)
     except AssertionError as error:
         context.fault = error
 
 
-@then("the claim oracle has found no fault")
-def step_no_fault(context):
+@then("the {name} oracle has found no fault")
+def step_no_fault(context, name):
     notes = "\n".join(getattr(context.fault, "__notes__", []))
-    assert context.fault is None, f"{context.fault}\n{notes}"
+    assert context.fault is None, f"{name}: {context.fault}\n{notes}"
--- a/fuzz/claim_machine.py
+++ b/fuzz/claim_machine.py
@@ -54,6 +54,12 @@
         if not self.world.process_by_id[member_id].is_paused:
             self.world.claim(member_id, self.keys[key], body, wait_s)
 
+    @rule(key=st.integers(0, 1))
+    def claim_everywhere(self, key: int) -> None:
+        """Start a call with one key at every member that can act."""
+        for member_id in MEMBERS:
+            self.claim(member_id, key, "body-1", LONGEST_WAIT_S)
+
     @rule(index=indexes, outcome=st.sampled_from(list(ClaimOutcome)))
     def finish(self, index: int, outcome: ClaimOutcome) -> None:
         """End a granted call."""
@@ -125,6 +131,18 @@
         """Give one member a view that others need not share."""
         self.world.set_view(member_id, view)
 
+    @rule()
+    def split(self) -> None:
+        """Let every member believe that it is alone and owns the shard."""
+        for member_id in MEMBERS:
+            self.world.set_view(member_id, [member_id])
+
+    @rule()
+    def join(self) -> None:
+        """Let the members agree again."""
+        for member_id in MEMBERS:
+            self.world.set_view(member_id, MEMBERS)
+
     @rule(member_id=member_ids)
     def pause_or_resume(self, member_id: str) -> None:
         """Pause a process, or let it run again."""
--- a/fuzz/run.py
+++ b/fuzz/run.py
@@ -16,8 +16,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from fuzz.claim_machine import ClaimMachine
+from fuzz.configuration_machine import ConfigurationMachine
 
-MACHINES: dict[str, type[RuleBasedStateMachine]] = {"claims": ClaimMachine}
+MACHINES: dict[str, type[RuleBasedStateMachine]] = {
+    "claims": ClaimMachine,
+    "configuration": ConfigurationMachine,
+}
 EXAMPLES_PER_ROUND = 50
 STEPS_PER_EXAMPLE = 80
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -88,8 +89,7 @@
 class ClaimTask:
     """Claims keys for this daemon's calls and owns the shards it is ranked first for.
 
-    ``reactor`` provides the monotonic clock. ``rng`` gives the process instance, so its
-    seed must differ between processes.
+    ``reactor`` provides the monotonic clock, ``rng`` the jitter of store retries.
     """
 
     def __init__(
@@ -108,7 +108,9 @@
         self._members = members
         self._network = network
         self._store = store
-        instance = f"{rng.getrandbits(64):016x}"
+        # A restarted process may have the same seed. With equal attempt ids it would be
+        # granted the claims of its former process.
+        instance = secrets.token_hex(8)
         limits = Claims()
         self._owners = [
             ShardOwner(shard, self._member_id, instance, limits.retention_s, rng)
