--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Contract
 
@@ -45,12 +46,15 @@
 
     def start(
         self, request: Request, exchange: Exchange, *, trust_internal_headers: bool
-    ) -> RunningCall | None:
-        """Serve a request; the result is None if it has been answered already."""
+    ) -> None:
+        """Serve a request and set ``exchange.call`` while it is in progress."""
 
     def refused(self, status: int, detail: str) -> None:
         """Note a request that was refused before routing."""
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value with the metrics."""
+
 
 class Exchange:
     """One request's way to answer; it has no effect once it is over.
@@ -145,6 +149,8 @@
 
     def _end(self, connection: CallerConnection, close: bool) -> None:
         self._connection = None
+        # The call refers to this exchange; a cycle would be left to the collector.
+        self.call = None
         self.producer = None
         connection.exchange_over(close=close)
 
@@ -281,7 +287,7 @@
             request = reader.received.popleft()
             exchange = self._exchange = Exchange(self, request)
             self.factory.call_begun()
-            exchange.call = self.factory.handler.start(
+            self.factory.handler.start(
                 request,
                 exchange,
                 trust_internal_headers=self.factory.trust_internal_headers,
@@ -323,6 +329,10 @@
         self._reactor = handler.reactor
         self._connections: set[CallerConnection] = set()
         self._sweep_call: Any = None
+        listener = "services" if trust_internal_headers else "callers"
+        self.handler.add_gauge(
+            f"calls_in_progress.{listener}", lambda: self.calls_in_progress
+        )
 
     def now(self) -> float:
         """Return the time in seconds."""
