Give the status page the keys that its readers use

Cause: the status page had the services at its top level, so that "banyanshelf status" showed no coordinator and "banyanshelf upstreams" showed nothing.

Change: services, coordinators and upstreams are keys of their own; scenarios for the client's commands that read daemons.

--- a/features/e2e/client.feature
+++ b/features/e2e/client.feature
@@ -38,6 +38,19 @@
     Then the client exits with 1
     And the client's output names "nothing was changed"
 
+  Scenario Outline: The daemons' state is printed
+    When the operator asks the daemons with "<command>"
+    Then the client exits with 0
+    And the client's output names "<words>"
+
+    Examples:
+      | command                                  | words                         |
+      | status                                   | serving                       |
+      | status --json                            | "coordinates": "catalogue, d  |
+      | upstreams                                | desk-1                        |
+      | explain desk.umujyi.example/payments     | goes to service 'desk'        |
+      | explain --method=POST desk.umujyi.example/payments | key is required     |
+
   Scenario: Unusable daemon settings are refused at the start
     When a daemon is started with the flag "--member-idd=x"
     Then the client exits with 2
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -77,6 +77,13 @@
     apply_with_comment(context)
 
 
+@when('the operator asks the daemons with "{command}"')
+def step_ask(context, command):
+    daemons = ",".join(map(context.fleet.operator_address, context.fleet.daemon_ids))
+    flag = f"--daemons={daemons}"
+    run_module(context, "banyanshelf_client", *command.split(), flag)
+
+
 @when('a daemon is started with the flag "{flag}"')
 def step_daemon(context, flag):
     run_module(context, "banyanshelf_daemon", flag)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -175,6 +175,7 @@
 
     def _status(self) -> dict[str, Any]:
         active = self.cluster.active()
+        services = self.coordination.snapshot()
         return {
             "member_id": self.identity.id,
             "zone": self.identity.zone,
@@ -182,7 +183,13 @@
             "version": active.version if active else 0,
             "digest": active.digest if active else "",
             **self.cluster.snapshot(),
-            **self.coordination.snapshot(),
+            "services": services,
+            "coordinators": {
+                name: service["coordinator"] for name, service in services.items()
+            },
+            "upstreams": {
+                name: service["upstreams"] for name, service in services.items()
+            },
             "host_list": self.directory.snapshot(),
             "claims": self.claims.snapshot(),
             "peer_bytes": self.network.snapshot(),
