--- a/features/core/permits_fleet.feature
+++ b/features/core/permits_fleet.feature
@@ -37,6 +37,11 @@
     Then the permit fleet admits one more call afterwards
     And a second release in the permit fleet changes nothing
 
+  Scenario: The status snapshot counts permits in use at the gateway and granted in all
+    Given a permit fleet of 2 gateways and 1 upstreams with 3 slots, seed 7
+    When each gateway of the permit fleet starts a call
+    Then the coordinator's snapshot in the permit fleet shows 1 in use and 2 granted
+
   Scenario Outline: The baseline "<policy>" admits at once and limits no slots
     Given a permit fleet of 2 gateways and 3 upstreams with policy "<policy>"
     When 60 calls arrive at one gateway of the permit fleet at once
--- a/features/steps/permit_fleet_steps.py
+++ b/features/steps/permit_fleet_steps.py
@@ -1,5 +1,7 @@
 """Steps for a fleet of gateways with permits on a controlled clock."""
 
+import json
+
 from behave import given, then, when
 from permit_faults import RandomFaults
 from permit_fleet import Fleet
@@ -193,3 +195,23 @@
     running = +context.fleet.running
     assert sum(running.values()) == count
     assert len(running) == (1 if upstreams == "one" else len(context.fleet.upstreams))
+
+
+@when("each gateway of the permit fleet starts a call")
+def step_one_call_each(context):
+    context.fleet.service_time = lambda upstream_id: 1.0
+    for member_id in context.fleet.gateways:
+        context.fleet.call(member_id)
+    context.fleet.advance(0.1)
+
+
+@then(
+    "the coordinator's snapshot in the permit fleet shows {in_use:d} in use and "
+    "{granted:d} granted"
+)
+def step_snapshot(context, in_use, granted):
+    fleet = context.fleet
+    coordination = fleet.gateways[fleet.coordinator_id()].coordination
+    snapshot = json.loads(json.dumps(coordination.snapshot()))["desk"]
+    (upstream,) = snapshot["upstreams"].values()
+    assert (upstream["in_use"], upstream["granted"]) == (in_use, granted), snapshot
