Measure the added latency with equal service times

Cause: with random service times a hedged call's first attempt counts as latency above the service time of the second one.

Change: the added_latency scenario uses fixed service times.

Conclusion: the scenario compares equal work.

--- a/packages/banyanshelf-bench/src/banyanshelf_bench/measure.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/measure.py
@@ -25,6 +25,9 @@
 # New upstreams ramp up from one slot over 5 s. Full load meanwhile builds up
 # a queue that lasts longer than the warm-up.
 RAMP_S = 6.0
+# The first attempt of a hedged call counts as latency above the service time of the
+# second one, so the added latency is measured with equal service times.
+BACKEND_FLAGS_BY_SCENARIO = {"added_latency": {"distribution": "fixed"}}
 
 
 def measure(
@@ -51,7 +54,12 @@
         daemons,
         scale,
     )
-    shape = options.deployment.shape(daemons, policy, mean_ms=options.mean_ms)
+    shape = options.deployment.shape(
+        daemons,
+        policy,
+        mean_ms=options.mean_ms,
+        backend_flags=BACKEND_FLAGS_BY_SCENARIO.get(scenario),
+    )
     with running_fleet(shape) as fleet:
         time.sleep(RAMP_S)
         result = SCENARIO_BY_NAME[scenario](BenchRun(options, fleet))
