Read coordinators from their own key in the end-to-end steps

Cause: the step read a service at the top level of the status page, which has moved below its own key.

Change: the step reads the key "coordinators".

--- a/features/steps/e2e_fleet_steps.py
+++ b/features/steps/e2e_fleet_steps.py
@@ -114,7 +114,7 @@
 
     def seen():
         statuses = [context.fleet.try_status(item) for item in context.fleet.daemon_ids]
-        return {status.get(service, {}).get("coordinator") for status in statuses}
+        return {status.get("coordinators", {}).get(service) for status in statuses}
 
     wait_until(lambda: seen() == wanted, f"coordinator {wanted}", LIMIT_S)
 
