Check a text of 710 services without comparing every pair

Cause: each adoption of a text parses and checks it on the reactor; the check for requests that match two services compared every pair of services.

--- a/features/e2e/client.feature
+++ b/features/e2e/client.feature
@@ -31,6 +31,7 @@
       | [services.desk]/slotz = 3                            | remove the key            |
       | [services.desk]/depends_on = ["stock"]               | services.desk.depends_on  |
       | [services.a]/hosts=["a"]/depends_on = ["a"]          | dependency cycle a -> a   |
+      | [services.a]/hosts=["h"]/[services.b]/hosts=["h"]    | requests for h/ match     |
       | [services.desk                                       | not valid TOML            |
 
   Scenario: The outcome of an apply without a store is not a success
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import tomllib
+from itertools import product
 from typing import Literal
 
 import msgspec
@@ -135,6 +136,7 @@
     _check_measuring(text.measuring)
     for name, service in text.services.items():
         _check_service(name, service, text.services)
+    _check_no_shared_match(text.services)
     _check_acyclic(text.services)
 
 
@@ -202,26 +204,20 @@
                 f"path prefix {prefix!r} has no leading slash",
                 "start it with /",
             )
-    _check_no_shared_match(name, service, services)
-
-
-def _check_no_shared_match(
-    name: str,
-    service: Service,
-    services: dict[str, Service],
-) -> None:
-    for other_name, other in services.items():
-        if other_name <= name:
-            continue
-        hosts = set(service.hosts or ["*"]) & set(other.hosts or ["*"])
-        prefixes = set(service.path_prefixes) & set(other.path_prefixes)
-        if hosts and prefixes:
-            raise TextError(
-                f"services.{other_name}",
-                f"requests for {sorted(hosts)[0]}{sorted(prefixes)[0]} match service "
-                f"{name!r} too",
-                "give each service its own hosts or path_prefixes",
-            )
+
+
+def _check_no_shared_match(services: dict[str, Service]) -> None:
+    owner_by_match: dict[tuple[str, str], str] = {}
+    for name, service in services.items():
+        matches = product(service.hosts or ["*"], service.path_prefixes)
+        for host, prefix in matches:
+            owner = owner_by_match.setdefault((host, prefix), name)
+            if owner != name:
+                raise TextError(
+                    f"services.{name}",
+                    f"requests for {host}{prefix} match service {owner!r} too",
+                    "give each service its own hosts or path_prefixes",
+                )
 
 
 def _check_acyclic(services: dict[str, Service]) -> None:
