Let callers below their share go first in the whole fleet

Cause: each gateway put the quiet caller service first, but the coordinator gave permits to the gateway with the oldest call, whoever it was from, so that a lookup waited for its gateway's next turn in the rush.

Ruled out: reporting a higher age for such calls. It is overwritten while grants are on their way, and it would stop the reuse of permits everywhere.

Change: gateways report how many waiting calls belong to caller services that use less than their share behind a longer queue; the coordinator serves gateways with such calls first. The new field may be missing in messages of older daemons: fields with a default may be absent.

--- a/features/core/codec.feature
+++ b/features/core/codec.feature
@@ -26,3 +26,8 @@
     Given a peer message "ClaimReply" with sample content
     When every proper prefix of its encoding is decoded
     Then each gives either a message or a codec error
+
+  # Guards a rolling upgrade, in which older daemons do not send newer fields.
+  Scenario: A field with a default may be missing in a message of an older daemon
+    When a release without its last field is decoded
+    Then the release has no urgent calls
--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -1,6 +1,7 @@
 """Steps for the codec of messages between daemons."""
 
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -93,3 +94,15 @@
 @then("the codec refuses it")
 def step_refused(context):
     assert isinstance(context.results[0], CodecError), context.results
+
+
+@when("a release without its last field is decoded")
+def step_older_release(context):
+    # Thrift leaves out a field without a value, as a daemon without the field does.
+    release = replace(SAMPLE_BY_NAME["Release"], urgent=None)
+    context.release = decode(encode(release))
+
+
+@then("the release has no urgent calls")
+def step_no_urgent(context):
+    assert context.release.urgent == 0, context.release
--- a/packages/banyanshelf-core/src/banyanshelf_core/admission.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/admission.py
@@ -116,6 +116,26 @@
         # Calls are added in the order of their arrival.
         return next(iter(self._callers_by_id.values())).arrived
 
+    def urgent_count(self) -> int:
+        """Return the waiting calls of caller services that use less than their share.
+
+        Those of the longest weighted queue are not among them, as they make the
+        others wait.
+        """
+        if len(self._calls_by_caller) < 2:
+            return 0
+        lengths = {
+            caller: len(calls) / self.weight(caller)
+            for caller, calls in self._calls_by_caller.items()
+        }
+        longest = max(lengths.values())
+        shares = self._shares()
+        return sum(
+            len(self._calls_by_caller[caller])
+            for caller, length in lengths.items()
+            if length < longest and self.in_use_by_caller[caller] < shares[caller]
+        )
+
     def ahead_of(self, depth: int) -> int:
         """Return how many waiting calls go before a new one of the given depth."""
         return sum(1 for each in self._callers_by_id.values() if each.depth >= depth)
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -167,7 +167,8 @@
     """Calls that wait for a permit; replaces the sender's previous count.
 
     ``spare`` asks for idle permits ahead of demand. ``excluded`` holds upstreams that
-    no waiting call can use.
+    no waiting call can use. ``urgent`` counts the waiting calls of caller services that
+    use less than their share.
     """
 
     service_name: str
@@ -178,6 +179,7 @@
     permits_received: int
     spare: int
     excluded: list[str]
+    urgent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +212,7 @@
     permits_received: int
     spare: int
     excluded: list[str]
+    urgent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/granting.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/granting.py
@@ -72,7 +72,7 @@
             if len(waiting) == 1:
                 member_id = next(iter(waiting))
             else:
-                member_id = min(waiting, key=lambda each: waiting[each].arrivals[0])
+                member_id = min(waiting, key=lambda each: _order(waiting[each]))
             account = waiting[member_id]
             picked = self._choice.pick(
                 now,
@@ -85,6 +85,7 @@
                 continue
             upstream_id, terms = picked
             account.arrivals.popleft()
+            account.urgent = max(0, account.urgent - 1)
             queue_length -= 1
             if not account.arrivals:
                 del waiting[member_id]
@@ -159,3 +160,8 @@
                 terms,
             ),
         )
+
+
+def _order(account: Account) -> tuple[bool, float]:
+    """Put gateways with urgent calls first, then the oldest waiting call."""
+    return account.urgent == 0, account.arrivals[0]
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/ledger.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/ledger.py
@@ -29,8 +29,9 @@
     """One gateway's permits and waiting calls.
 
     ``on_their_way`` lists granted permits that the gateway has not confirmed, oldest
-    first. ``arrivals`` holds one time per waiting call, oldest first. Nothing is
-    granted while ``reported`` or ``linked`` is false.
+    first. ``arrivals`` holds one time per waiting call, oldest first; ``urgent`` of
+    them go before those of other gateways. Nothing is granted while ``reported`` or
+    ``linked`` is false.
     """
 
     held: Counter[UpstreamId] = field(default_factory=Counter)
@@ -39,6 +40,7 @@
     recalled: Counter[UpstreamId] = field(default_factory=Counter)
     arrivals: deque[float] = field(default_factory=deque)
     spare: int = 0
+    urgent: int = 0
     excluded: frozenset[UpstreamId] = frozenset()
     reported: bool = False
     linked: bool = True
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/outbox.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/outbox.py
@@ -114,6 +114,7 @@
                 self.permits_received,
                 self._spare,
                 excluded,
+                queue.urgent_count(),
             )
             self._released = Counter()
             self._samples = []
@@ -127,6 +128,7 @@
                 self.permits_received,
                 self._spare,
                 excluded,
+                queue.urgent_count(),
             )
         else:
             return None
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/codec.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/codec.py
@@ -13,7 +13,7 @@
 import types
 import typing
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import MISSING, fields
 from pathlib import Path
 from typing import Any
 
@@ -107,16 +107,18 @@
     return convert
 
 
-def _optional_names(message_class: type) -> frozenset[str]:
-    hints = typing.get_type_hints(message_class)
+def _default_names(message_class: type) -> frozenset[str]:
+    """Return the fields that a message of an older version may lack."""
     return frozenset(
-        name for name, hint in hints.items() if type(None) in typing.get_args(hint)
+        each.name
+        for each in fields(message_class)
+        if each.default is not MISSING or each.default_factory is not MISSING
     )
 
 
 def _from_struct(message_class: type) -> Converter:
     hints = typing.get_type_hints(message_class)
-    optional = _optional_names(message_class)
+    with_default = _default_names(message_class)
     converters = [
         (each.name, _converter(hints[each.name], _from_struct, _decoded_leaf))
         for each in fields(message_class)
@@ -126,12 +128,14 @@
         values = {}
         for name, apply in converters:
             value = getattr(struct, name)
-            if value is None and name not in optional:
+            if value is None and name in with_default:
+                continue
+            if value is None:
                 raise CodecError(
                     f"message {message_class.__name__} lacks field {name!r}; "
                     "check that both daemons run compatible versions",
                 )
-            values[name] = None if value is None else apply(value)
+            values[name] = apply(value)
         return message_class(**values)
 
     return convert
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -99,6 +99,7 @@
   6: optional i64 permits_received
   7: optional i64 spare
   8: optional list<string> excluded
+  9: optional i64 urgent
 }
 
 struct Grant {
@@ -122,6 +123,7 @@
   8: optional i64 permits_received
   9: optional i64 spare
   10: optional list<string> excluded
+  11: optional i64 urgent
 }
 
 struct Recall {
