Limit the time reserved for a call's service

Cause: two mean service times were reserved without a limit, so a service whose calls take most of their time limit was refused altogether: 4 of 6 payments of 1.5 s with a limit of 2 s in features/e2e/shard_owner.feature.

Change: the reserve is at most a quarter of the call's own time.

--- a/features/core/expected_wait.feature
+++ b/features/core/expected_wait.feature
@@ -20,3 +20,9 @@
     When 1 calls with 2 seconds left arrive before any permit
     And 1.89 seconds pass without a permit
     Then the waiting call is refused because of "no permit in time"
+
+  Scenario: A service whose calls take most of their time limit is served
+    # Two service times were once reserved without a limit, which refused every call.
+    Given a permit holder in a group of 3 with 9 slots and calls of 1500 ms
+    When 1 calls with 2 seconds left arrive before any permit
+    Then none of the arrived calls is shed
--- a/features/core/permits_holder.feature
+++ b/features/core/permits_holder.feature
@@ -133,10 +133,10 @@
     And the g1 holder ends call "first" after 100 ms
     And the g1 holder's clock advances 0.3 s
     And the g1 holder gets calls "second third fourth"
-    # Two calls of 100 ms are ahead, the gateway's fair share is all 3 slots, and two
-    # service times are reserved for the call itself.
-    And the g1 holder gets call "early" with 280 ms left
-    And the g1 holder gets call "late" with 260 ms left
+    # Two calls of 100 ms are ahead, the gateway's fair share is all 3 slots, and a
+    # quarter of the call's time is reserved for the call itself.
+    And the g1 holder gets call "early" with 100 ms left
+    And the g1 holder gets call "late" with 80 ms left
     Then the g1 holder has refused only "late", because of "expected wait exceeds time left"
 
   Scenario: A call that gets no permit in time is refused
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -37,6 +37,9 @@
 # the upstream, which costs a slot and helps nobody. Without it, an overload of 1.4
 # times halved the throughput.
 RESERVED_SERVICE_TIMES = 2
+# The reserve is at most this part of the call's own time. Without the limit, a service
+# whose calls take most of their time limit was refused altogether.
+RESERVED_SHARE = 0.25
 IDLE_PERMIT = "idle permit"
 LOCAL = "local share"
 NO_UPSTREAM = "no upstream left for this call"
@@ -98,7 +101,7 @@
         if not self.local.has_candidate(call.excluded):
             return (Refuse(call.call_id, NO_UPSTREAM, 1.0),)
         expected = self._expected_wait_s(call.depth)
-        if now + expected + self._reserve_s() > call.deadline:
+        if now + expected + self._reserve_s(call) > call.deadline:
             retry_after = max(SHORTEST_RETRY_AFTER_S, expected)
             reason = "expected wait exceeds time left"
             return (Refuse(call.call_id, reason, retry_after),)
@@ -230,9 +233,8 @@
         """Act on what time brings; to be called every 25 ms or so."""
         effects: list[HolderEffect] = []
         self.local.refresh(now)
-        reserve_s = self._reserve_s()
         for call in self.queue:
-            if now + reserve_s >= call.deadline:
+            if now + self._reserve_s(call) >= call.deadline:
                 self.cancel(call.call_id)
                 retry_after = max(SHORTEST_RETRY_AFTER_S, now - call.arrived)
                 effects.append(Refuse(call.call_id, "no permit in time", retry_after))
@@ -399,8 +401,11 @@
             self.counts.take_idle(upstream_id)
             self._outbox.give_back(upstream_id)
 
-    def _reserve_s(self) -> float:
-        return RESERVED_SERVICE_TIMES * self.local.mean_service_s()
+    def _reserve_s(self, call: WaitingCall) -> float:
+        return min(
+            RESERVED_SERVICE_TIMES * self.local.mean_service_s(),
+            RESERVED_SHARE * (call.deadline - call.arrived),
+        )
 
     def _expected_wait_s(self, depth: int) -> float:
         """Return how long the calls ahead take at this gateway's concurrency.
