Give a daemon 50 store calls a second by default

Cause: with 20 calls a second per daemon, 95 to 120 of 200 payments were refused as not_run on 3 daemons, because a small fleet owns as many shards as a full one. The test fleet raised the budget, which hid it.

Change: default 50, and the test fleet uses the default. Claim writes stay bounded at 192 a second for the fleet by the shards themselves, so the budget only guards against a daemon that misbehaves.

--- a/packages/banyanshelf-bench/src/banyanshelf_bench/deployments.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/deployments.py
@@ -7,7 +7,6 @@
 from banyanshelf_bench.fleet import BackendSpec, DaemonSpec, FleetShape
 
 FULL_FLEET = 14
-STORE_CALLS_PER_SECOND = 20.0
 
 UMUJYI_TEXT = """\
 policy = "{policy}"
@@ -102,10 +101,7 @@
         ``upstreams`` is the number of backend servers per service, by default that of
         the deployment.
         """
-        # A small fleet owns as many claim shards as a full one, so it shares the
-        # store budget that 14 daemons have by default.
-        budget = STORE_CALLS_PER_SECOND * FULL_FLEET / max(1, daemons)
-        settings = {"store_calls_per_second": budget, **(daemon_flags or {})}
+        settings = daemon_flags or {}
         gateways = [
             DaemonSpec(f"gateway-{number + 1}", self._zone(number), settings)
             for number in range(daemons)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
@@ -79,7 +79,7 @@
     tls_key: str = ""
     tls_authority: str = ""
     log_level: str = "info"
-    store_calls_per_second: Positive = 20.0
+    store_calls_per_second: Positive = 50.0
     drain_timeout_s: Positive = 30.0
     health_notice_s: float = 1.0
     max_connections: PositiveCount = 2000
