Move the reserve for a call's service into a module of its own

Change: service_reserve computes the time that a waiting call needs; the holder asks it. No change of behaviour.

--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -29,17 +29,11 @@
 from banyanshelf_core.permits.permit_counts import PermitCounts
 from banyanshelf_core.permits.reach import CoordinatorReach
 from banyanshelf_core.permits.return_marks import ReturnMarks
+from banyanshelf_core.permits.service_reserve import service_reserve_s
 from banyanshelf_core.permits.settings import HolderSettings
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 SHORTEST_RETRY_AFTER_S = 0.1
-# A call with less time left than this many mean service times would often time out at
-# the upstream, which costs a slot and helps nobody. Without it, an overload of 1.4
-# times halved the throughput.
-RESERVED_SERVICE_TIMES = 2
-# The reserve is at most this part of the call's own time. Without the limit, a service
-# whose calls take most of their time limit was refused altogether.
-RESERVED_SHARE = 0.25
 IDLE_PERMIT = "idle permit"
 LOCAL = "local share"
 NO_UPSTREAM = "no upstream left for this call"
@@ -402,10 +396,7 @@
             self._outbox.give_back(upstream_id)
 
     def _reserve_s(self, call: WaitingCall) -> float:
-        return min(
-            RESERVED_SERVICE_TIMES * self.local.mean_service_s(),
-            RESERVED_SHARE * (call.deadline - call.arrived),
-        )
+        return service_reserve_s(call, self.local.mean_service_s())
 
     def _expected_wait_s(self, depth: int) -> float:
         """Return how long the calls ahead take at this gateway's concurrency.
