Place later tries by the time that their callers have waited

Cause: callers count their time from the first try, but each try was placed as if it were the first.

Change: a gateway knows from the deadlines of recent calls on a route how long callers wait at their first try, and infers from a shorter one how long ago that was (`CallerWaits`). A call whose target has passed, of a kind that has not been answered yet, is presumed to take as long as others of its kind instead of 3 ms.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -102,6 +102,17 @@
       | 0.25 | 5   | 120 | 150  |
       | 1.0  | 5   | 120 | 150  |
 
+  # Guards against calls whose target has passed and that look as if they took 3 ms, when
+  # no call of their kind has been answered yet.
+  Scenario: A call whose target has passed takes as long as others of its kind
+    Given calls of a kind that has not been answered yet
+    Then a call with 200 ms left is expected to take 40 to 120 ms
+    And a call with -100 ms left is expected to take 40 to 120 ms
+
+  # The load it answers: callers that come back after a refusal, beyond the capacity.
+  Scenario: Beyond the capacity, more callers are in time if their waits are inferred
+    Then of callers that try again at 1.1 of the capacity, 0.05 more are answered in time if their waits are inferred
+
   # The load it answers: few calls a gateway at upstreams whose pace changes.
   Scenario: Under a shared load, more callers are served in time than by random choice
     Then of calls at 0.3 of the capacity, the placement answers 0.15 more in time than random choice
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -93,3 +93,10 @@
     When a client sends a safe request with 400 ms left
     And the upstream resets the connection
     Then the client gets 502
+
+  # Guards against a later try that is placed as if its client had not waited before:
+  # under overload it took the slot of a call that could still be in time.
+  Scenario: A later try is placed by the time that its client has waited
+    When 20 clients send targeted requests with 500 ms left, and get answers
+    And a client sends a targeted request with 380 ms left
+    Then the placement is asked for an answer within 80 ms
--- a/features/steps/placement_load.py
+++ b/features/steps/placement_load.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 
+from banyanshelf_core.caller_waits import CallerWaits
 from banyanshelf_core.messages import AnswerSample
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream
 from banyanshelf_core.placement.choice import (
@@ -17,6 +18,11 @@
 SLOW_PACE = 4.0
 WORK_S = 0.06
 TARGET_S = 0.2
+# Callers wait for this long, up to a sixth less, and try again twice after a refusal.
+DEADLINE_S = 0.5
+DEADLINE_SPREAD = 1 / 6
+TRIES = 3
+WAY_S = 0.008
 REPORT_PERIOD_S = 0.1
 GATEWAYS = 4
 UPSTREAMS = 6
@@ -24,17 +30,27 @@
 
 
 class _Call:
-    def __init__(self, gateway, upstream, started, work_s, progress):
+    def __init__(self, gateway, upstream, caller, started, work_s, progress):
         self.gateway, self.upstream, self.started = gateway, upstream, started
-        self.left_s, self.progress = work_s, progress
+        self.caller, self.left_s, self.progress = caller, work_s, progress
+
+
+class _Caller:
+    def __init__(self, first_try, deadline):
+        self.first_try, self.deadline, self.tries = first_try, deadline, 0
 
 
 class ZoneLoad:
-    """Plays calls for some seconds; ``in_time`` is the share answered in time."""
+    """Plays calls for some seconds; ``play`` returns the share answered in time.
+
+    Callers that ``retry`` come back after a refusal. With ``infers_waits``, a gateway
+    tells from a caller's deadline how long ago it first tried.
+    """
 
-    def __init__(self, seed, is_random):
+    def __init__(self, seed, is_random, retry=False, infers_waits=False):
         self.rng = random.Random(seed)
-        self.is_random = is_random
+        self.is_random, self.retry = is_random, retry
+        self.waits = [CallerWaits() for _ in range(GATEWAYS)] if infers_waits else None
         self.upstreams = {
             f"u{i}": Upstream(f"u{i}", "desk", f"127.0.0.1:{i + 1}", "a", SLOTS)
             for i in range(UPSTREAMS)
@@ -53,7 +69,10 @@
         arrivals, now = [], 0.0
         while now < seconds:
             now += self.rng.expovariate(calls_per_s)
-            heapq.heappush(arrivals, now)
+            patience_s = DEADLINE_S * self.rng.uniform(1 - DEADLINE_SPREAD, 1)
+            caller = _Caller(now, now + patience_s)
+            heapq.heappush(arrivals, (now + WAY_S, len(arrivals), caller))
+            self.asked += 1
         steps = int((seconds + 1) / STEP_S)
         for step in range(steps):
             now = step * STEP_S
@@ -62,9 +81,11 @@
             if step % int(REPORT_PERIOD_S / STEP_S) == 0:
                 for name in self.upstreams:
                     self._report(now, name)
-            while arrivals and arrivals[0] <= now:
-                heapq.heappop(arrivals)
-                self._arrive(now)
+            while arrivals and arrivals[0][0] <= now:
+                _, number, caller = heapq.heappop(arrivals)
+                again = self._arrive(now, caller)
+                if again is not None and again < caller.deadline:
+                    heapq.heappush(arrivals, (again, number, caller))
             self._work(now)
         return self.answered_in_time / self.asked
 
@@ -80,22 +101,28 @@
         for choice in self.choices:
             choice.note_report(now, name, report)
 
-    def _arrive(self, now):
-        self.asked += 1
+    def _arrive(self, now, caller):
+        """Place a call or refuse it; returns when a refused caller is back."""
+        caller.tries += 1
         gateway = self.rng.randrange(GATEWAYS)
         choice = self.choices[gateway]
-        request = PlacementRequest("/", now + TARGET_S, now + 3 * TARGET_S)
+        left_s = caller.deadline - now
+        waited_s = self.waits[gateway].waited_s("/", left_s) if self.waits else 0.0
+        request = PlacementRequest("/", now + TARGET_S - waited_s, now + left_s)
         if self.is_random:
             name = self.rng.choice(list(self.upstreams))
         else:
             found = choice.choose(now, request)
             if not isinstance(found, Placed):
-                return
+                is_back = self.retry and caller.tries < TRIES
+                return now + found.retry_after_s + 2 * WAY_S if is_back else None
             name = found.upstream.id
         progress = choice.begin(now, name)
         work_s = WORK_S * self.rng.uniform(0.7, 1.3)
-        self.running[name].append(_Call(gateway, name, now, work_s, progress))
+        call = _Call(gateway, name, caller, now, work_s, progress)
+        self.running[name].append(call)
         self._share(name)
+        return None
 
     def _share(self, name):
         for index, choice in enumerate(self.choices):
@@ -111,7 +138,8 @@
             for call in [each for each in calls if each.left_s <= 0]:
                 calls.remove(call)
                 took_s = now - call.started
-                self.answered_in_time += took_s <= TARGET_S
+                answered = now + WAY_S - call.caller.first_try
+                self.answered_in_time += answered <= TARGET_S
                 sample = AnswerSample(name, int(took_s * 1e6), AnswerKind.ANSWERED)
                 self.choices[call.gateway].end(now, "/", call.progress, sample)
                 self._share(name)
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -18,6 +18,7 @@
     Refused,
 )
 from banyanshelf_core.placement.pace_model import PaceModel
+from banyanshelf_core.placement.work_estimate import WorkEstimate
 
 START_S = 100.0
 TRIES = 40
@@ -124,6 +125,11 @@
     return " ".join(sorted({each.upstream.id for each in found}))
 
 
+@given("calls of a kind that has not been answered yet")
+def step_unknown(context):
+    context.choice.estimate = WorkEstimate()
+
+
 @then('calls with {left:d} ms left go to "{names}"')
 def step_chosen(context, left, names):
     found = chosen(context, left)
@@ -196,3 +202,16 @@
         ZoneLoad(7, is_random).play(20, calls_per_s) for is_random in (False, True)
     ]
     assert shares[0] >= shares[1] + gain, shares
+
+
+@then(
+    "of callers that try again at {use:g} of the capacity, {gain:g} more are answered "
+    "in time if their waits are inferred"
+)
+def step_retries(context, use, gain):
+    calls_per_s = use * UPSTREAMS * SLOTS / WORK_S
+    shares = [
+        ZoneLoad(7, False, retry=True, infers_waits=infers).play(20, calls_per_s)
+        for infers in (True, False)
+    ]
+    assert shares[0] >= shares[1] + gain, shares
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -26,6 +26,12 @@
 max_attempts = 2
 [[routes]]
 host = "a.example"
+path_prefix = "/targeted/"
+service = "desk"
+idempotent = true
+target_ms = 200
+[[routes]]
+host = "a.example"
 path_prefix = "/single-attempt/"
 service = "desk"
 idempotent = true
@@ -68,6 +74,20 @@
     note_request(context)
 
 
+@when("{count:d} clients send {kind} requests with {left:d} ms left, and get answers")
+def step_requests(context, count, kind, left):
+    for _ in range(count):
+        step_request(context, kind, left)
+        step_answer(context, 200, "mine")
+
+
+@then("the placement is asked for an answer within {left:d} ms")
+def step_target(context, left):
+    target = context.path.permits.requests[-1].target
+    left_ms = 1000 * (target - context.path.reactor.seconds())
+    assert abs(left_ms - left) < 1, left_ms
+
+
 def note_request(context):
     waiting = context.path.waiting()
     if waiting:
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/work_estimate.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/work_estimate.py
@@ -18,13 +18,18 @@
         self.full_factor = PRESUMED_FULL_FACTOR
         self._average_by_class: dict[str, float] = {}
         self._samples_by_class: dict[str, int] = {}
+        self._longest_target_s_by_class: dict[str, float] = {}
 
     def usual_s(self, work_class: str, target_s: float) -> float:
         """Return the usual service time of a class of work."""
         average = self._average_by_class.get(work_class)
-        if average is None:
-            return PRESUMED_SHARE_OF_TARGET * max(SHORTEST_TARGET_S, target_s)
-        return average
+        if average is not None:
+            return average
+        # A call whose target has passed takes no less time than others of its class.
+        longest_s = self._longest_target_s_by_class.get(work_class, SHORTEST_TARGET_S)
+        longest_s = max(longest_s, target_s)
+        self._longest_target_s_by_class[work_class] = longest_s
+        return PRESUMED_SHARE_OF_TARGET * longest_s
 
     def note(self, work_class: str, work_s: float, *, nearly_full: bool) -> None:
         """Take in a whole answer and its time at the usual pace."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -60,6 +60,7 @@
         if context.deadline_s is not None and context.deadline_s < timeout_s:
             timeout_s = context.deadline_s
         self.deadline = self.started + timeout_s
+        self.target = self._target(context)
         self._context = context
         self._state = services.state_for(route.service_name, route.service)
         self._may_have_run = False
@@ -75,6 +76,18 @@
         self._has_logged_no_hedge = False
         self._timer: Any = None
 
+    def _target(self, context: CallContext) -> float:
+        """Return when the caller wants its answer, counted from its first try."""
+        route = self.route
+        if not route.target_s:
+            return self.started + route.timeout_s
+        if context.deadline_s is None or context.depth:
+            return self.started + route.target_s
+        waited_s = self.services.caller_waits.waited_s(
+            (route.service_name, route.path_prefix), context.deadline_s
+        )
+        return self.started + route.target_s - waited_s
+
     def now(self) -> float:
         """Return the time in seconds."""
         return self.services.now()
@@ -101,7 +114,7 @@
                 self._used,
                 only_idle,
                 self.route.path_prefix,
-                self.started + (self.route.target_s or self.route.timeout_s),
+                self.target,
                 self.route.priority,
                 self.late_expected if self.route.idempotent else None,
             ),
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from banyanshelf_core.caller_waits import CallerWaits
 from banyanshelf_core.crash_guard import CrashGuard
 from banyanshelf_core.messages import CrashClear, CrashMark
 from banyanshelf_core.model import Broadcast, MemberId, Upstream, UpstreamId
@@ -78,6 +79,7 @@
         self.log = log
         self.metrics = metrics
         self.start_id = f"{rng.getrandbits(48):012x}"
+        self.caller_waits = CallerWaits()
         self.crash_guard = CrashGuard(settings.member_id, self.start_id)
         self._configuration = configuration
         self._directory = directory
