Log the time that a call had until its target

Cause: later tries are placed by the time that their callers have waited, and no line told that time.

Change: `target_ms` in the line of an answered call.

--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -100,3 +100,4 @@
     When 20 clients send targeted requests with 500 ms left, and get answers
     And a client sends a targeted request with 380 ms left
     Then the placement is asked for an answer within 80 ms
+    And its log line says that 80 ms were left
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -88,6 +88,14 @@
     assert abs(left_ms - left) < 1, left_ms
 
 
+@then("its log line says that {left:d} ms were left")
+def step_logged_target(context, left):
+    step_answer(context, 200, "mine")
+    lines = context.path.log_lines()
+    answered = [each for each in lines if each["event"] == "answered"]
+    assert abs(answered[-1]["target_ms"] - left) < 1, answered[-1]
+
+
 def note_request(context):
     waiting = context.path.waiting()
     if waiting:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -183,6 +183,7 @@
         self.services.log.event(
             "answered",
             request_id=self.request_id,
+            target_ms=round((self.target - self.started) * 1000, 1),
             status=status,
             attempts=self._attempt_count,
             total_ms=round((self.now() - self.started) * 1000, 1),
