Keep background work going after an unexpected error

An upstream's entry with an address that is no IP address and port raised an error in each call that was placed there.

Entries with an unusable address or a warm-up of more than an hour are refused.

--- a/features/platform/records.feature
+++ b/features/platform/records.feature
@@ -15,6 +15,10 @@
       | a list as information   | entry["information"] = []              |
       | no address              | del entry["address"]                   |
       | an address without port | entry["address"] = "10.0.0.1"          |
+      | a name as its port      | entry["address"] = "10.0.0.1:http"     |
+      | a port out of range     | entry["address"] = "10.0.0.1:70000"    |
+      | a host name             | entry["address"] = "desk.example:80"   |
+      | an endless warm-up      | entry["status"]["warmupLeftMs"] = 1e300 |
 
   Scenario: An entry gives the upstream
     Then the upstream entry is decoded with state "live", incarnation 1700 and 2500 ms cold
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster.py
@@ -8,7 +8,6 @@
 
 from logbook import Logger
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from banyanshelf_core.configuration import (
     Adopted,
@@ -35,6 +34,7 @@
 )
 from banyanshelf_core.model import Broadcast, Member, MemberId, Send
 from banyanshelf_core.store_records import ConfigHead
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.cluster_store import MemberLease, StoreWatcher
 from banyanshelf_daemon.interfaces import ActiveText, ClusterNetwork
 from banyanshelf_daemon.settings import Settings
@@ -86,8 +86,7 @@
         self._store_watcher = StoreWatcher(reactor, store, rng, self)
         self._lease = MemberLease(reactor, store, rng, lambda: self._members.identity)
         self._active: ActiveText | None = None
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = reactor
+        self._ticker = PeriodicTask(reactor, self._tick, "cluster")
         self._reading_version = 0
         self._member_handlers: list[Callable[[], None]] = []
         self._removed_handlers: list[Callable[[], None]] = []
@@ -127,7 +126,7 @@
 
     def start(self) -> None:
         """Join the cluster and watch the store; the links must be listening."""
-        self._ticker.start(TICK_S, now=False)
+        self._ticker.start(TICK_S)
         self._lease.start()
         self._store_watcher.start()
 
@@ -145,8 +144,7 @@
         """Stop at once; without :meth:`leave`, the others detect a failed member."""
         self._store_watcher.stop()
         self._lease.stop()
-        if self._ticker.running:
-            self._ticker.stop()
+        self._ticker.stop()
 
     def snapshot(self) -> dict[str, Any]:
         """Return members and configuration version for the status page."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -74,7 +74,7 @@
 
     def start(self) -> None:
         """Read and watch the store until stopped."""
-        self._tasks.spawn(self._read_and_watch(), "store records")
+        self._tasks.supervise(self._read_and_watch, "store records")
 
     def stop(self) -> None:
         """Stop reading and watching."""
@@ -116,6 +116,9 @@
     def _watch(
         self, prefix: str, revision: int, on_event: Callable[[WatchEvent], None]
     ) -> None:
+        previous = self._watches.get(prefix)
+        if previous is not None:
+            previous.stop()
         self._watches[prefix] = self._store.watch(
             prefix, revision, on_event, self._on_reset
         )
@@ -182,7 +185,7 @@
 
     def start(self) -> None:
         """Write the record and renew it until stopped."""
-        self._tasks.spawn(self._maintain(), "member record")
+        self._tasks.supervise(self._maintain, "member record")
 
     def stop(self) -> None:
         """Stop renewing the lease; the record is deleted when it expires."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -8,7 +8,6 @@
 
 from logbook import Logger
 from twisted.internet.defer import Deferred, fail, succeed
-from twisted.internet.task import LoopingCall
 
 from banyanshelf_core.admission import WaitingCall
 from banyanshelf_core.call_messages import AnswerSample
@@ -36,6 +35,7 @@
     NO_UPSTREAM_REASON,
     PermitHolder,
 )
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.baseline_admission import NO_RETRY_TIME_S, BaselineAdmission
 from banyanshelf_daemon.coordination_views import (
     cap_upstream_slots,
@@ -98,8 +98,7 @@
         self._in_use_by_number = self._executor.in_use_by_number
         self._last_call_id = 0
         self._baseline: BaselineAdmission | None = None
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = reactor
+        self._ticker = PeriodicTask(reactor, self._tick, "coordination")
         self._is_stopped = False
 
     def start(self) -> None:
@@ -122,7 +121,7 @@
         active = self._configuration.active()
         if active is not None:
             self._on_text(active)
-        self._ticker.start(TICK_S, now=False)
+        self._ticker.start(TICK_S)
 
     def hand_over(self) -> None:
         """Release coordinator roles and idle permits before a graceful shutdown.
@@ -137,8 +136,7 @@
         if self._is_stopped:
             return
         self._is_stopped = True
-        if self._ticker.running:
-            self._ticker.stop()
+        self._ticker.stop()
         for waiting in list(self._waiting_by_id.values()):
             waiting.deferred.errback(NotAdmittedError("this gateway stops", 1.0))
         self._waiting_by_id.clear()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
@@ -9,7 +9,6 @@
 import msgspec
 from logbook import Logger
 from twisted.internet.protocol import DatagramProtocol
-from twisted.internet.task import LoopingCall
 
 from banyanshelf_core.call_messages import CrashClear, CrashMark
 from banyanshelf_core.datagrams import (
@@ -22,6 +21,7 @@
 from banyanshelf_core.errors import CodecError
 from banyanshelf_core.gossip import GossipMembers, SendDatagram
 from banyanshelf_core.model import Member, MemberId
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.settings import Address
 from banyanshelf_wire.datagram import decode_datagram, encode_datagram
 
@@ -58,8 +58,7 @@
         self._member_handlers: list[Callable[[], None]] = []
         self._crash_handlers: dict[type, Callable[[MemberId, Any], None]] = {}
         self._address_by_member: dict[MemberId, tuple[str, int]] = {}
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = reactor
+        self._ticker = PeriodicTask(reactor, self._tick, "gossip")
         self._port: Any = None
         self._is_stopped = False
 
@@ -67,7 +66,7 @@
         """Listen on this member's address and send greetings to the seeds."""
         address = Address.from_string(self.members.identity.address)
         self._port = self._reactor.listenUDP(address.port, self, interface=address.host)
-        self._ticker.start(TICK_S)
+        self._ticker.start(TICK_S, now=True)
 
     def stop(self) -> None:
         """Stop sending and receiving.
@@ -76,8 +75,7 @@
         crashes of upstreams.
         """
         self._is_stopped = True
-        if self._ticker.running:
-            self._ticker.stop()
+        self._ticker.stop()
         if self._port is not None:
             self._port.stopListening()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -142,7 +142,7 @@
 
     def start(self) -> None:
         """Start to poll the host list."""
-        self._tasks.spawn(self._poll_until_stopped(), "host list")
+        self._tasks.supervise(self._poll_until_stopped, "host list")
 
     def stop(self) -> Any:
         """Stop polling; returns a Deferred or None."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
@@ -6,7 +6,6 @@
 from typing import Any, Protocol
 
 from logbook import Logger
-from twisted.internet.task import LoopingCall
 
 from banyanshelf_core.datagrams import EndedCall, LoadUpdate, ReportRow, ZoneDigest
 from banyanshelf_core.model import LoadReport, Member, MemberId, UpstreamId
@@ -15,6 +14,7 @@
     AggregatorSelector,
     DigestBuilder,
 )
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.gossip_link import GossipLink
 
 # Period of full snapshots of the counts, which repair the loss of datagrams.
@@ -98,23 +98,21 @@
         # Ends of calls that the aggregator placed
         self._ended: list[EndedCall] = []
         self._is_flush_scheduled = False
-        self._snapshot_task = LoopingCall(self._publish_full_snapshot)
-        self._aggregator_check_task = LoopingCall(self._check_aggregator)
-        self._digest_task = LoopingCall(self._send_digest)
-        for task in (
-            self._snapshot_task,
-            self._aggregator_check_task,
-            self._digest_task,
-        ):
-            task.clock = reactor
+        self._snapshot_task = PeriodicTask(
+            reactor, self._publish_full_snapshot, "load snapshot"
+        )
+        self._aggregator_check_task = PeriodicTask(
+            reactor, self._check_aggregator, "aggregator check"
+        )
+        self._digest_task = PeriodicTask(reactor, self._send_digest, "zone digest")
 
     def start(self) -> None:
         """Subscribe to datagrams and member changes; start the periodic tasks."""
         self._gossip.on_members_change(self._on_members_change)
         self._gossip.on_load_update(self._on_load_update)
         self._gossip.on_zone_digest(self._on_zone_digest)
-        self._snapshot_task.start(FULL_SNAPSHOT_PERIOD_S, now=False)
-        self._aggregator_check_task.start(AGGREGATOR_CHECK_PERIOD_S, now=False)
+        self._snapshot_task.start(FULL_SNAPSHOT_PERIOD_S)
+        self._aggregator_check_task.start(AGGREGATOR_CHECK_PERIOD_S)
 
     def stop(self) -> None:
         """Stop the periodic tasks."""
@@ -123,8 +121,7 @@
             self._aggregator_check_task,
             self._digest_task,
         ):
-            if task.running:
-                task.stop()
+            task.stop()
 
     @property
     def is_aggregator(self) -> bool:
@@ -196,7 +193,7 @@
         if self._aggregator.id != self._identity.id:
             self._gossip.send_to([self._aggregator.address], update)
         own = self._gossip.members.row_of(self._identity.id)
-        if own is not None and (self._digest_task.running or self.is_aggregator):
+        if own is not None and (self._digest_task.is_running or self.is_aggregator):
             self._builder.add_update(self._reactor.seconds(), own, update)
 
     def _send_digest(self) -> None:
@@ -225,8 +222,8 @@
         self._builder.add_update(self._reactor.seconds(), sender, update)
         placed = set(update.placed_calls) if update.is_full_snapshot else None
         self._calls.apply_call_ends(update.sender, update.ended_calls, placed)
-        if not self._digest_task.running:
-            self._digest_task.start(DIGEST_PERIOD_S, now=False)
+        if not self._digest_task.is_running:
+            self._digest_task.start(DIGEST_PERIOD_S)
 
     def _on_zone_digest(self, digest: ZoneDigest) -> None:
         now = self._reactor.seconds()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -10,7 +10,6 @@
 
 from logbook import Logger
 from twisted.internet.defer import Deferred, fail, succeed
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from banyanshelf_core.call_messages import AnswerSample
@@ -32,6 +31,7 @@
     PlacementSelector,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.health_questions import HealthProber
 from banyanshelf_daemon.interfaces import (
@@ -127,19 +127,17 @@
         self._prober = HealthProber(
             reactor, zone, self.loads, self._sharing, gossip, probe
         )
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = reactor
+        self._ticker = PeriodicTask(reactor, self._tick, "admission")
 
     def start(self) -> None:
         """Subscribe to configuration, upstreams and members; start periodic tasks."""
         self.loads.start()
-        self._ticker.start(TICK_INTERVAL_S, now=False)
+        self._ticker.start(TICK_INTERVAL_S)
         self._sharing.start()
 
     def stop(self) -> None:
         """Stop the periodic tasks."""
-        if self._ticker.running:
-            self._ticker.stop()
+        self._ticker.stop()
         self._sharing.stop()
 
     def acquire(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
@@ -95,7 +95,7 @@
 
     def start(self) -> None:
         """Watch until stopped."""
-        self._store.tasks.spawn(self._run(), f"watch on {self._prefix}")
+        self._store.tasks.supervise(self._run, f"watch on {self._prefix}")
 
     def stop(self) -> None:
         """Stop the watch."""
