Answer every accepted request at a planned stop

Cause: three ways to cut off a request that has been accepted. Closing the port resets the connections that the kernel has queued. Idle connections were closed at once, although a request may be on its way or lie unread. banyanshelfd took the first moment without a call for the end of its calls, while its port stayed open: calls that began later, during the hand-over of its roles, ended with the process.

Change: CallerListener stops in steps.

Before: all scenarios of planned_stop.feature failed with the former order of steps. After: all pass.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -16,6 +16,7 @@
 from banyanshelf_daemon.problem import problem_answer
 from banyanshelf_daemon.request_reader import MAX_HEAD_BYTES, RequestReader
 from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.socket_peek import has_unread_data
 
 BODY_TIMEOUT_S = 30.0
 SLOW_READER_TIMEOUT_S = 30.0
@@ -155,7 +156,7 @@
             self._factory.call_finished()
 
     def _must_close(self, connection: CallerConnection) -> bool:
-        return not self._request.keep_alive or connection.factory.is_stopping
+        return not self._request.keep_alive or connection.factory.closes_connections
 
     def _end(self, connection: CallerConnection, close: bool) -> None:
         self._connection = None
@@ -260,12 +261,14 @@
 
     @property
     def is_receiving(self) -> bool:
-        """Whether a request has been received in part."""
-        return not (self._reader.is_idle or self._is_closing)
+        """Whether a request has been received in part, read or not."""
+        if self._is_closing:
+            return False
+        return not self._reader.is_idle or has_unread_data(self.transport)
 
     def close_if_idle(self) -> None:
         """Close unless a request is being received or served."""
-        if self._exchange is None and self._reader.is_idle:
+        if self._exchange is None and not self.is_receiving:
             self.close()
 
     def check_deadline(self, now: float) -> None:
@@ -342,6 +345,8 @@
         self.trust_internal_headers = trust_internal_headers
         self.calls_in_progress = 0
         self.is_stopping = False
+        # Whether answers ask callers to close their connections.
+        self.closes_connections = False
         self.drained: Deferred[None] = Deferred()
         self._reactor = handler.reactor
         self._connections: set[CallerConnection] = set()
@@ -367,7 +372,7 @@
         time, or immediately with ``closes_idle``.
         """
         if not self.is_stopping:
-            self.is_stopping = True
+            self.is_stopping = self.closes_connections = True
             self._check_drained()
             if closes_idle:
                 for connection in list(self._connections):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -14,6 +14,7 @@
 from banyanshelf_core.matching import RequestMatcher
 from banyanshelf_core.model import Member, UpstreamState
 from banyanshelf_daemon.call import CallHandler
+from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
 from banyanshelf_daemon.claim_records import BudgetedClaimStore
 from banyanshelf_daemon.claim_service import ClaimTask
@@ -93,6 +94,7 @@
         self._caller_factory = CallerServerFactory(self.handler, settings, False)
         self._service_factory = CallerServerFactory(self.handler, settings, True)
         self._ports: list[Any] = []
+        self._caller_listeners: list[CallerListener] = []
 
     def start(self) -> None:
         """Open the listeners and start every component."""
@@ -104,8 +106,8 @@
         self.directory.start()
         self.coordination.start()
         self.claims.start()
-        self._listen(self._settings.listen, self._caller_factory)
-        self._listen(self._settings.service_listen, self._service_factory)
+        self._listen_for_callers(self._settings.listen, self._caller_factory)
+        self._listen_for_callers(self._settings.service_listen, self._service_factory)
         if self.cluster.active() is not None:
             self.lifecycle.ready()
 
@@ -114,15 +116,17 @@
         """Shut down gracefully; calls in progress may finish within the drain timeout.
 
         The health check fails first, so that the platform's load balancer sends no new
-        calls. Then other members take over the roles, and calls in progress finish.
+        calls. Then new connections are refused, other members take over the roles, and
+        calls in progress finish.
         """
         self.lifecycle.stop_requested()
+        for listener in self._caller_listeners:
+            listener.begin_stop()
         yield deferLater(self._reactor, self._settings.health_notice_s)
+        for listener in self._caller_listeners:
+            yield listener.close()
         no_calls = defer.DeferredList(
-            [
-                self._caller_factory.stop_accepting(),
-                self._service_factory.stop_accepting(),
-            ],
+            [listener.drain() for listener in self._caller_listeners]
         )
         self.coordination.hand_over()
         yield self._with_drain_timeout(self.claims.hand_over())
@@ -153,10 +157,15 @@
         self.log.flush()
 
     def _listen(self, address: str, factory: Any) -> None:
+        self._ports.append(self._open_port(address, factory))
+
+    def _listen_for_callers(self, address: str, factory: CallerServerFactory) -> None:
+        port = self._open_port(address, factory)
+        self._caller_listeners.append(CallerListener(self._reactor, port, factory))
+
+    def _open_port(self, address: str, factory: Any) -> Any:
         host, port = Address.from_string(address)
-        self._ports.append(
-            self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host),
-        )
+        return self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host)
 
     def _on_text_adopted(self, active: ActiveText) -> None:
         self.log.event("text adopted", version=active.version, digest=active.digest)
