Keep copied and endless answers from callers

Cause: on the product's own listeners, a second copy of an answer that arrives after the next request was written on its connection was taken for that request's answer. Chunk sizes, extensions and trailers without end were read until the call's time limit. On the operators' platform, an upstream's 408, 429 or 503 that does not say "not executed" was passed on, and callers repeat even unsafe requests after these; the late answer to a call could pass for that of a health probe.

Framing without body bytes is limited to 64 KiB. A promise that the upstream has not made becomes 502.

--- a/features/daemon/upstream_answers.feature
+++ b/features/daemon/upstream_answers.feature
@@ -29,6 +29,50 @@
       | another protocol      | 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n                 |
       | a folded header line  | 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n                     |
 
+  # Guards against a late second copy of an answer that the next caller gets. The copy
+  # arrives after the next request has been written, so that it is not unsolicited.
+  Scenario Outline: <copy> does not reach the next caller
+    Given a data path with upstream_count=1
+    When these data path events happen: "GET /a >> 200 one >> <events>"
+    Then the data path shows "<checks>"
+
+    Examples:
+      | copy                                       | events | checks |
+      | A copy 1 ms late                           | GET /b >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none >> 200 two | bodies one two |
+      | A copy that names its request              | wait 0.1 >> GET /b >> named_copy >> named two | bodies one two; upstream_closed True |
+      | Half a copy                                | GET /b >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\no >> 200 two | bodies one two |
+      | A copy after one on an idle connection     | wait 0.1 >> more HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none >> wait 0.1 >> GET /b >> 200 two >> wait 0.1 >> GET /c >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo >> 200 three | bodies one two three |
+      | A copy after one with the answer           | GET /b >> upstream HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwoHTTP/1.1 200 OK >> wait 0.1 >> GET /c >> 200 new >> wait 0.1 >> GET /d >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew >> 200 last | bodies one two new last |
+
+  # Guards against a handshake for each call after one that was long ago.
+  Scenario: Connections of an upstream that sent a copy are reused a minute later
+    Given a data path with upstream_count=1
+    When these data path events happen: "GET /a >> 200 one >> wait 0.1 >> more HTTP/1.1 >> wait 61 >> GET /b >> 200 two >> wait 0.1 >> GET /c >> 200 three"
+    Then the data path shows "bodies one two three; reused True"
+
+  # Guards against memory that grows until the caller's time is up: such bytes may come
+  # without end, until the connection is closed.
+  Scenario Outline: Endless <bytes> are cut off
+    Given a data path with upstream_count=1
+    When these data path events happen: "POST /a x >> upstream <start> >> endless <piece>"
+    Then the data path shows "answer 502 unknown; upstream_closed True; received_most 200000"
+
+    Examples:
+      | bytes                    | start                                                              | piece             |
+      | bytes that are no head   | no answer                                                          | no answer at all  |
+      | header lines             | HTTP/1.1 200 OK\r\n                                                | X-A: b\r\n         |
+      | parts of one header line | HTTP/1.1 200 OK\r\nX-A:                                            | aaaaaaaa          |
+      | interim answers          | HTTP/1.1 100 Continue\r\n\r\n                                      | HTTP/1.1 100 Continue\r\n\r\n |
+      | trailer lines            | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n | X-A: b\r\n         |
+      | parts of a chunk's size  | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n5;a  | aaaaaaaa          |
+
+  # Guards against the same in a body: what a caller has not read is not read on, and the
+  # call's time limit ends it.
+  Scenario: An endless body ends with the time limit of its call
+    Given a data path with upstream_count=1
+    When these data path events happen: "GET /a >> upstream HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n >> chunks 40 >> pause >> expect upstream paused >> wait 2.1"
+    Then the data path shows "caller cut; upstream_closed True; released timeout"
+
   # Each row names the failure that it guards against.
   Scenario Outline: No <failure>
     Given a data path with upstream_count=1, members=<members>
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -81,6 +81,26 @@
     When a client sends a safe request with 400 ms left
     Then the client gets 503 with a Retry-After below 1.5 s
 
+  # Guards against an unsafe request that its client repeats: the status promises that the
+  # request has not run, and the upstream has not said so.
+  Scenario Outline: An upstream's <status> that does not say "not executed" gives 502
+    When a client sends an unsafe request with 400 ms left
+    And the upstream answers "<status> busy"
+    Then the client gets 502
+    And 1 request has reached an upstream
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
+  # Guards against a late answer to a call that is taken for the answer of a health probe,
+  # and against the answer of a probe that reaches a client.
+  Scenario: A probe skips the late answer to a call
+    When the health probe of an upstream is answered with a call's 200 and its own 503
+    Then the health probe has failed
+
   # Guards against an upstream's error that is replaced by another one.
   Scenario: An upstream's error is passed on unchanged
     When a client sends an unsafe request with 400 ms left
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -95,6 +95,51 @@
     context.path.settle(float(seconds))
 
 
+def on_late(context, data):
+    """Deliver bytes on the connection of the last answer, in use again or not."""
+    context.path.send(context.transport, unescape(data))
+
+
+def on_named(context, body):
+    """Answer the waiting request with its id."""
+    on_upstream(context, answer_with_id(context.path.waiting()[0].value(), body))
+
+
+def on_named_copy(context):
+    """Deliver a copy of the answer to the previous request, with that one's id."""
+    transport = context.path.waiting()[0]
+    requests = transport.history
+    assert len(requests) > 1, "the connection is not in use again"
+    copy = answer_with_id(requests[-2], "one")
+    context.path.send(transport, unescape(copy))
+
+
+def answer_with_id(request, body):
+    [request_id] = [
+        line.partition(b": ")[2].decode()
+        for line in request.split(b"\r\n")
+        if line.startswith(b"Banyanshelf-Request-Id")
+    ]
+    return (
+        f"HTTP/1.1 200 OK\\r\\nUpstream-Request-Id: {request_id}\\r\\n"
+        f"Content-Length: {len(body)}\\r\\n\\r\\n{body}"
+    )
+
+
+def on_endless(context, piece):
+    """Deliver pieces until the connection is closed, at most 2 MB."""
+    data = unescape(piece) * (4000 // len(unescape(piece)))
+    context.endless = 0
+    while not context.transport.is_closed and context.endless < 2_000_000:
+        context.path.send(context.transport, data)
+        context.endless += len(data)
+
+
+def on_chunks(context, count):
+    for _ in range(int(count)):
+        context.path.send(context.transport, b"2000\r\n" + b"y" * 0x2000 + b"\r\n")
+
+
 def on_not_run(context, extra=""):
     on_upstream(context, f"HTTP/1.1 503 No\\r\\n{extra}{FINAL_NOT_RUN}")
 
@@ -206,7 +251,15 @@
     return str(len(lines)) == count
 
 
-WITH_ARGUMENT = {"header", "decisions", "got", "got_not", "log_without", "starts"}
+WITH_ARGUMENT = {
+    "received_most",
+    "header",
+    "decisions",
+    "got",
+    "got_not",
+    "log_without",
+    "starts",
+}
 CHECKS = {
     "bodies": lambda c: " ".join(
         each[2].decode() for each in split_answers(c.caller.value())
@@ -240,6 +293,10 @@
     "calls": lambda c: f"{c.path.factory.calls_in_progress} {c.drained.called}",
     "probe": lambda c: " ".join(c.probe),
     "got": lambda c, line: line.encode() in c.request.split(b"\r\n"),
+    "received_most": lambda c, limit: c.endless <= int(limit),
+    "reused": lambda c: str(
+        any(len(each.history) > 1 for each in c.path.upstream_transports)
+    ),
     "got_not": lambda c, text: text.encode().lower() not in c.request.lower(),
     "starts": lambda c, text: c.request.startswith(text.encode()),
     "log_without": lambda c, text: text not in str(c.path.log_lines()),
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -141,6 +141,23 @@
     context.path.settle()
 
 
+@when("the health probe of an upstream is answered with a call's 200 and its own 503")
+def step_probe(context):
+    context.probe = []
+    result = context.path.handler.probe(context.path.upstreams[0])
+    result.addCallback(context.probe.append)
+    context.path.settle()
+    [transport] = context.path.waiting()
+    own = b"HTTP/1.1 503 No\r\nX-Banyanshelf-Instance-Id: desk-1\r\n"
+    late = answer(200, "late", "earlier")
+    context.path.answer(transport, late + own + b"Content-Length: 0\r\n\r\n")
+
+
+@then("the health probe has failed")
+def step_probe_failed(context):
+    assert context.probe == [False], context.probe
+
+
 @when("the upstream resets the connection")
 def step_reset(context):
     context.transport.clear()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -243,7 +243,8 @@
 
     def _send(self, connection: UpstreamConnection, request: bytes) -> None:
         self._connection = connection
-        connection.send(request, self, is_head=False)
+        rules = self._services.dialect.probe_rules()
+        connection.send(request, self, is_head=False, rules=rules)
 
     def _refused(self, _failure: Failure) -> None:
         self._finish(False)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -177,6 +177,9 @@
             self._refusals_by_upstream.pop(upstream_id, None)
             return
         self.metrics.count(f"signal.{kind}")
+        if kind == "surplus":
+            self.log.event("surplus bytes", upstream=upstream_id)
+            return
         self._guard_cut(upstream_id, None)
         if kind == "closed":
             return
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -82,9 +82,15 @@
     def caller_fields(self, request_id: str) -> list[Header]:
         """Return the headers that the gateway adds to an upstream's answer."""
 
-    def answer_rules(self, request: Request) -> AnswerRules | None:
+    def answer_rules(self, request: Request, request_id: str) -> AnswerRules | None:
         """Return the rules that match an answer to the request, if there are any."""
 
+    def probe_rules(self) -> AnswerRules:
+        """Return the rules that tell a probe's answer from those to calls."""
+
+    def falsely_promises_not_run(self, answer: Answer) -> bool:
+        """Whether an answer tells callers that a call has not run, without proof."""
+
     def says_not_run(self, head: Answer | AnswerHead) -> bool:
         """Whether the upstream states that it did not run the call."""
 
@@ -109,7 +115,12 @@
 
     request_fields: frozenset[bytes] = frozenset()
     answer_fields = frozenset(
-        {b"upstream-load", b"upstream-state", b"upstream-outcome"}
+        {
+            b"upstream-load",
+            b"upstream-state",
+            b"upstream-outcome",
+            b"upstream-request-id",
+        }
     )
     internal_prefix = b"banyanshelf-"
 
@@ -147,9 +158,17 @@
         """Return the header with the request id."""
         return [header("Banyanshelf-Request-Id", request_id)]
 
-    def answer_rules(self, request: Request) -> AnswerRules | None:
-        """Return None, as answers do not carry the id of their request."""
-        return None
+    def answer_rules(self, request: Request, request_id: str) -> AnswerRules | None:
+        """Skip answers that name another request; naming one is optional."""
+        return AnswerRules(b"upstream-request-id", request_id.encode())
+
+    def probe_rules(self) -> AnswerRules:
+        """Skip answers that name a request, as a probe has no id."""
+        return AnswerRules(b"upstream-request-id", b"")
+
+    def falsely_promises_not_run(self, answer: Answer) -> bool:
+        """Return False, as only ``Upstream-Outcome`` states that a call has not run."""
+        return False
 
     def says_not_run(self, head: Answer | AnswerHead) -> bool:
         """Whether a 503 carries ``Upstream-Outcome: not_run``."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -67,15 +67,16 @@
     """Rules that verify that an answer is the upstream's answer to one request.
 
     An answer whose ``request_field`` differs from ``request_id`` belongs to another
-    request. A 2xx answer without ``proof_field`` does not come from an upstream. Field
-    names are in lower case. With ``may_end_with_connection``, an answer without a
-    length or chunks ends when the upstream closes the connection.
+    request; ``request_id`` is empty for a request without an id. A 2xx answer without
+    ``proof_field`` does not come from an upstream; an empty ``proof_field`` checks
+    nothing. Field names are in lower case. With ``may_end_with_connection``, an answer
+    without a length or chunks ends when the upstream closes the connection.
     """
 
     request_field: bytes
     request_id: bytes
-    proof_field: bytes
-    may_end_with_connection: bool
+    proof_field: bytes = b""
+    may_end_with_connection: bool = False
 
 
 class Answer(NamedTuple):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -81,7 +81,8 @@
         if services.crash_guard.has_tracked_requests:
             services.broadcast(services.crash_guard.record_answer(self.fingerprint()))
         not_run = self.says_not_run(answer)
-        if answer.status < 500 and not not_run:
+        is_false_promise = services.dialect.falsely_promises_not_run(answer)
+        if answer.status < 500 and not (not_run or is_false_promise):
             # Errors are left out: fast ones would shorten the hedge delay.
             self._service_state.policy.note_answer(attempt.service_time_s)
             self.finish(answer, attempt)
@@ -236,7 +237,7 @@
         attempt.start(
             self.serialized_request(upstream.id),
             is_head=self.request.method == "HEAD",
-            rules=services.dialect.answer_rules(self.request),
+            rules=services.dialect.answer_rules(self.request, self.request_id),
         )
 
     def _not_admitted(self, failure: DeferredFailure) -> None:
@@ -340,6 +341,14 @@
         )
 
     def _finish_fallback(self, answer: Answer) -> None:
+        if self.services.dialect.falsely_promises_not_run(answer):
+            self.finish_problem(
+                502,
+                f"the upstream answered {answer.status} without stating that the "
+                "request has not run",
+                "http_response_incomplete",
+            )
+            return
         if not self.says_not_run(answer):
             self.finish(answer)
             return
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -23,6 +23,8 @@
 )
 
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+# Trailers, chunk sizes and their extensions, without any byte of the body between them.
+MAX_FRAMING_BYTES = 64 * 1024
 # Assumed for an upstream that announces no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 60.0
 # A connection is not used in the last fifth of its idle timeout: a request would still
@@ -52,6 +54,9 @@
     def connection_free(self, connection: UpstreamConnection) -> None:
         """Reuse a connection that can carry another request."""
 
+    def surplus_received(self) -> None:
+        """Handle bytes that belong to no request."""
+
     def connection_lost(
         self, connection: UpstreamConnection, *, closed_by_upstream: bool
     ) -> None:
@@ -95,7 +100,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._head: AnswerHead | None = None
-        self._head_bytes = 0
+        self._head_bytes = self._framing_bytes = 0
         self._body_parts: list[bytes] = []
         self._error = ""
         self._is_complete = False
@@ -137,6 +142,8 @@
         receiver = self._receiver
         if receiver is None:
             # No request is in progress, so these bytes belong to no caller.
+            if not self._is_closing:
+                self._owner.surplus_received()
             self.close()
             return
         self._received_bytes += len(data)
@@ -149,10 +156,7 @@
             else:
                 cause = error.__context__ or error
                 self._error = self._error or f"malformed answer: {cause}"
-        if self._head is None:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
-                self._error = "the answer's head is too long"
+        self._check_framing(len(data))
         if self._error:
             self._fail(self._error)
             return
@@ -256,6 +260,19 @@
         # httptools resets how the answer was delimited after this callback.
         self._keeps_alive = self._parser.should_keep_alive()
 
+    def _check_framing(self, size: int) -> None:
+        """Limit what is not part of a body, as it may come without end."""
+        if self._head is None:
+            self._head_bytes += size
+            if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+                self._error = "the answer's head is too long"
+        elif self._body_parts or self._is_complete:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += size
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self._error = "the answer's chunk sizes or trailers are too long"
+
     def _names_other_request(self) -> bool:
         rules = self._rules
         if rules is None:
@@ -265,7 +282,7 @@
 
     def _check_origin(self, status: int) -> None:
         rules = self._rules
-        if rules is None or not 200 <= status < 300:
+        if rules is None or not rules.proof_field or not 200 <= status < 300:
             return
         if header_value(self._headers, rules.proof_field) is None:
             raise ValueError("the answer has no proof of its origin")
@@ -274,6 +291,8 @@
         self._receiver = None
         self.answer_count += 1
         reusable = self._keeps_alive and not self._has_surplus_bytes
+        if self._has_surplus_bytes:
+            self._owner.surplus_received()
         if reusable and not self._is_lost:
             idle_s = keep_alive_timeout_s(self._headers)
             if idle_s is not None:
