Make second attempts after the target and for upstreams out of use

A second attempt was asked for only before the target, and refused unless it would meet it.

Change: PlacementSelector.needs_second_attempt decides for a call in progress: if its answer is expected late, if its upstream is out of use or has left, and, past the target, if it runs five times as long as expected. After the target, a second attempt has to meet the deadline. The types of requests and decisions are in placement/decisions.py.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -75,6 +75,30 @@
     When the placement sees "others g2 a2 1"
     Then a second attempt with 400 ms left goes to "a2"
 
+  # Guards against idempotent calls that wait for an upstream that has gone silent until
+  # their callers give up, while others of the service answer in 40 ms: after the target had
+  # passed, no second attempt was considered (hamutenya-zips trouble-1, seed 5).
+  Scenario Outline: A call <state> needs a second attempt: <needed>
+    When the placement sees "begin a1; wait <after>; <events>"
+    Then a call to "a1" with a target of 200 ms and a deadline of 1000 ms, begun <after> s ago, needs a second attempt: <needed>
+
+    Examples:
+      | state                                    | after | events                 | needed |
+      | that is in time                          | 0.03  | report a1 1 1.0        | no     |
+      | that will miss its target                | 0.18  | report a1 1 1.0        | yes    |
+      | past its target that progresses          | 0.25  | report a1 1 4.0        | no     |
+      | past its target without an answer        | 0.45  | report a1 1 1.0        | yes    |
+      | at an upstream that is out of use        | 0.03  | fail a1 refused        | yes    |
+      | past its target at one out of use        | 0.25  | fail a1 refused        | yes    |
+      | at an upstream that has left             | 0.03  | remove a1              | yes    |
+      | with too little time for another attempt | 0.97  | fail a1 refused        | no     |
+
+  # Guards against a second attempt that is refused because the target has passed, although
+  # it would be answered before the caller gives up.
+  Scenario: After its target a call gets a second attempt that meets its deadline
+    Then a second attempt 100 ms after its target with 600 ms left goes to "a1 a2"
+    And a second attempt 100 ms after its target with 20 ms left is refused
+
   # Guards against calls to an upstream that is down, and against an upstream that is
   # never used again.
   Scenario: An upstream that refuses connections is out of use until it is healthy
--- a/features/steps/placement_load.py
+++ b/features/steps/placement_load.py
@@ -6,11 +6,8 @@
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.caller_waits import CallerWaitEstimator
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream
-from banyanshelf_core.placement.choice import (
-    Placed,
-    PlacementRequest,
-    PlacementSelector,
-)
+from banyanshelf_core.placement.choice import PlacementSelector
+from banyanshelf_core.placement.decisions import Placed, PlacementRequest
 
 STEP_S = 0.005
 PACE_PERIOD_S = 0.3
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -11,11 +11,12 @@
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream, UpstreamState
-from banyanshelf_core.placement.choice import (
+from banyanshelf_core.placement.choice import PlacementSelector
+from banyanshelf_core.placement.decisions import (
     Placed,
     PlacementRequest,
-    PlacementSelector,
     Refused,
+    RunningAttempt,
 )
 from banyanshelf_core.placement.pace_model import PaceModel
 from banyanshelf_core.placement.work_estimate import WorkEstimate
@@ -91,6 +92,11 @@
     context.selector.end_call(context.now, "/", context.progress, sample)
 
 
+def on_remove(context, name):
+    del context.upstreams[name]
+    context.selector.set_upstreams(context.now, context.upstreams)
+
+
 def on_fail(context, name, kind):
     context.selector.note_result(context.now, name, AnswerKind(kind))
 
@@ -157,6 +163,52 @@
     assert isinstance(found, Refused), found
 
 
+@then(
+    'a call to "{name}" with a target of {target:d} ms and a deadline of '
+    "{deadline:d} ms, "
+    "begun {seconds:g} s ago, needs a second attempt: {expected}"
+)
+def step_needs_second(context, name, target, deadline, seconds, expected):
+    begun = context.now - seconds
+    found = context.selector.needs_second_attempt(
+        context.now,
+        RunningAttempt(
+            name,
+            "/",
+            context.progress,
+            begun + target / 1000,
+            begun + deadline / 1000,
+        ),
+    )
+    assert found == (expected == "yes"), found
+
+
+def second_after_target(context, late_ms, left_ms):
+    request = PlacementRequest(
+        "/",
+        context.now - late_ms / 1000,
+        context.now + left_ms / 1000,
+        only_idle=True,
+    )
+    return context.selector.choose(context.now, request)
+
+
+@then(
+    "a second attempt {late:d} ms after its target with {left:d} ms left goes to "
+    '"{names}"'
+)
+def step_second_late(context, late, left, names):
+    found = [second_after_target(context, late, left) for _ in range(REPEATS)]
+    assert all(isinstance(each, Placed) for each in found), found
+    assert {each.upstream.id for each in found} == set(names.split())
+
+
+@then("a second attempt {late:d} ms after its target with {left:d} ms left is refused")
+def step_second_too_late(context, late, left):
+    found = second_after_target(context, late, left)
+    assert isinstance(found, Refused), found
+
+
 @then("a call with {left:d} ms left is refused")
 def step_refused(context, left):
     found = choose(context, left)
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -9,7 +9,6 @@
 import math
 import random
 from collections.abc import Collection, Mapping
-from typing import NamedTuple
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import (
@@ -20,6 +19,12 @@
     UpstreamId,
     UpstreamState,
 )
+from banyanshelf_core.placement.decisions import (
+    Placed,
+    PlacementRequest,
+    Refused,
+    RunningAttempt,
+)
 from banyanshelf_core.placement.pace_model import PaceModel
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_core.placement.work_estimate import WorkEstimate
@@ -32,6 +37,8 @@
 CROSS_ZONE_ROUND_TRIP_S = 0.002
 # Reserved before the target for sending the response back to the caller.
 RESPONSE_MARGIN_S = 0.012
+# A call that has had this many times its expected work is taken for stuck.
+STUCK_WORK_FACTOR = 5
 # A running call is assumed to have at least this share of its expected work left.
 MIN_REMAINING_WORK_SHARE = 0.2
 # A call stays in its own zone if its on-time probability there is at least this.
@@ -76,47 +83,6 @@
 Candidate = tuple[float, UpstreamLoad]
 
 
-class PlacementRequest(NamedTuple):
-    """The requirements of a call; ``target`` and ``deadline`` are clock times.
-
-    A call with ``only_idle`` is a second attempt that must not delay other calls. While
-    the local zone has a usable upstream, upstreams of other zones are considered only
-    if their last report is at most ``max_remote_report_age_s`` old.
-    """
-
-    work_class: str
-    target: float
-    deadline: float
-    excluded: Collection[UpstreamId] = ()
-    only_idle: bool = False
-    priority: int = 0
-    max_remote_report_age_s: float = math.inf
-
-
-class Placed(NamedTuple):
-    """The selected upstream and the values that the decision was based on.
-
-    ``expected_s`` is the expected time until the response. ``report_age_s`` is the age
-    of the last load report, infinite before the first one.
-    """
-
-    upstream: Upstream
-    expected_s: float
-    candidates: int
-    reason: str
-    in_flight: float = 0.0
-    pace: float = 1.0
-    report_age_s: float = 0.0
-    is_same_zone: bool = True
-
-
-class Refused(NamedTuple):
-    """The call was not placed, as no upstream can answer it in time."""
-
-    reason: str
-    retry_after_s: float
-
-
 class PlacementSelector:
     """One gateway's view of a service's upstreams, from which it selects one per call.
 
@@ -162,7 +128,9 @@
         free = load.upstream.slots - load.in_flight(now)
         if request.only_idle:
             is_idle = free - 1 >= (1 - NEARLY_FULL_SHARE) * load.upstream.slots
-            if not is_idle or now + expected_s > request.target:
+            # Past its target, a call can still be answered before its caller gives up.
+            latest = request.target if request.target > now else request.deadline
+            if not is_idle or now + expected_s + RESPONSE_MARGIN_S > latest:
                 return Refused("no idle upstream answers in time", 0.0)
         is_late = now + expected_s > request.target
         if is_late and (free < 1 or self._utilization(now) > LATE_CALL_MAX_UTILIZATION):
@@ -246,6 +214,26 @@
         work_s = max(MIN_REMAINING_WORK_SHARE * expected_s, expected_s - done_s)
         return self.pace.service_s(work_s, load.rate, now - load.reported_at)
 
+    def needs_second_attempt(self, now: float, attempt: RunningAttempt) -> bool:
+        """Whether an idempotent call should be sent to another upstream as well.
+
+        That is the case if its answer is expected after its target, if its upstream is
+        out of use, and, past the target, if it runs several times as long as expected.
+        """
+        work_s = self.estimate.expected_work_s(attempt.work_class, 0.0)
+        if now + work_s + RESPONSE_MARGIN_S > attempt.deadline:
+            return False
+        load = self.loads_by_id.get(attempt.upstream_id)
+        if load is None or load.is_ejected(now):
+            return True
+        if now < attempt.target:
+            remaining_s = self.remaining_s(
+                now, attempt.upstream_id, attempt.work_class, attempt.progress_s
+            )
+            return now + remaining_s + RESPONSE_MARGIN_S > attempt.target
+        done_s = load.advance(now, self.pace.mean_rate) - attempt.progress_s
+        return done_s > STUCK_WORK_FACTOR * work_s
+
     def note_result(self, now: float, upstream_id: UpstreamId, kind: str) -> None:
         """Record how a call of any gateway ended."""
         load = self.loads_by_id.get(upstream_id)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -29,7 +29,7 @@
     ServiceName,
     UpstreamId,
 )
-from banyanshelf_core.placement.choice import PlacementRequest
+from banyanshelf_core.placement.decisions import PlacementRequest
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -26,9 +26,12 @@
 )
 from banyanshelf_core.placement.choice import (
     NO_UPSTREAM_RETRY_AFTER_S,
+    PlacementSelector,
+)
+from banyanshelf_core.placement.decisions import (
     Placed,
     PlacementRequest,
-    PlacementSelector,
+    RunningAttempt,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_daemon.background import PeriodicTask
@@ -60,6 +63,9 @@
 # margin, are left before the target.
 HEDGE_SERVICE_TIME_FACTOR = 1.2
 HEDGE_MARGIN_S = 0.012
+# A call that needs a second attempt asks for one this often until an upstream is idle.
+# In a large zone, each notice is a datagram.
+LATE_NOTICE_PERIOD_S = 0.05
 # Call numbers start at a random value of this many bits, so that they never exceed 64.
 CALL_NUMBER_BITS = 48
 
@@ -68,14 +74,19 @@
 
 class _CallInProgress(NamedTuple):
     service_name: ServiceName
-    upstream_id: UpstreamId
-    work_class: str
-    progress_s: float
-    target: float
+    attempt: RunningAttempt
     on_late: Callable[[], None] | None
     is_placed_by_aggregator: bool = False
 
 
+def _running_attempt(
+    upstream_id: UpstreamId, progress_s: float, request: PlacementRequest
+) -> RunningAttempt:
+    return RunningAttempt(
+        upstream_id, request.work_class, progress_s, request.target, request.deadline
+    )
+
+
 def _basis(found: Placed) -> dict[str, float]:
     basis = {
         "expected_ms": round(found.expected_s * 1000, 1),
@@ -110,6 +121,8 @@
         self._directory = directory
         self.loads = ServiceLoads(reactor, zone, configuration, directory, rng)
         self._call_by_number: dict[int, _CallInProgress] = {}
+        # When the calls that need a second attempt were last notified
+        self._notified_at_by_number: dict[int, float] = {}
         # A restarted gateway must not reuse the call numbers of its previous run.
         self._last_number = rng.getrandbits(CALL_NUMBER_BITS)
         self._aggregator_placed_by_upstream: Counter[UpstreamId] = Counter()
@@ -196,14 +209,9 @@
                 return place_here()
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
+            attempt = _running_attempt(upstream.id, progress_s, placement_request)
             self._call_by_number[number] = _CallInProgress(
-                service_name,
-                upstream.id,
-                placement_request.work_class,
-                progress_s,
-                placement_request.target,
-                on_late,
-                True,
+                service_name, attempt, on_late, True
             )
             return Permit(
                 upstream,
@@ -288,10 +296,7 @@
         self._last_number += 1
         self._call_by_number[self._last_number] = _CallInProgress(
             service_name,
-            upstream_id,
-            placement_request.work_class,
-            progress_s,
-            placement_request.target,
+            _running_attempt(upstream_id, progress_s, placement_request),
             on_late,
         )
         return succeed(
@@ -309,6 +314,7 @@
     def release(self, permit: Permit, sample: AnswerSample) -> None:
         """Count the end of a call; further releases have no effect."""
         running = self._call_by_number.pop(permit.number, None)
+        self._notified_at_by_number.pop(permit.number, None)
         if running is None:
             log.warning("permit {} was released twice", permit.number)
             return
@@ -316,7 +322,8 @@
         if selector is None:
             return
         now = self._reactor.seconds()
-        selector.end_call(now, running.work_class, running.progress_s, sample)
+        attempt = running.attempt
+        selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
         if running.is_placed_by_aggregator:
             self._aggregator_placed_by_upstream[sample.upstream] -= 1
             if not self._aggregator_placed_by_upstream[sample.upstream]:
@@ -406,16 +413,17 @@
         self._prober.probe_stale_upstreams()
 
     def _notify_late_calls(self, now: float) -> None:
-        """Notify the calls whose answers are expected after their targets."""
-        for running in list(self._call_by_number.values()):
+        """Notify the calls that need a second attempt, again until they get one."""
+        notified_at = self._notified_at_by_number
+        for number, running in list(self._call_by_number.items()):
             selector = self.loads.selector_by_service.get(running.service_name)
             if running.on_late is None or selector is None:
                 continue
             if running.is_placed_by_aggregator:
                 # The aggregator has newer load reports and checks this call.
                 continue
-            remaining_s = selector.remaining_s(
-                now, running.upstream_id, running.work_class, running.progress_s
-            )
-            if now + remaining_s + HEDGE_MARGIN_S > running.target > now:
+            if now < notified_at.get(number, -math.inf) + LATE_NOTICE_PERIOD_S:
+                continue
+            if selector.needs_second_attempt(now, running.attempt):
+                notified_at[number] = now
                 running.on_late()
