Send a health probe again when a kept connection does not answer

Cause: a probe on a kept connection to a host that had gone dark took 1 s to fail, and calls went there meanwhile; on a connection that had gone silent without its upstream it took a healthy upstream out of use.

Change: a probe that a kept connection has not answered within 0.3 s is sent on a new connection, whose handshake fails within 0.15 s if the host is down.

Before: both new rows of upstream_answers.feature failed. After: they pass.

--- a/features/daemon/upstream_answers.feature
+++ b/features/daemon/upstream_answers.feature
@@ -94,6 +94,8 @@
       | unbounded buffer for a caller paused early   | 1   | GET /a >> pause >> upstream HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n | upstream paused |
       | connection held by a caller that never reads | 1   | GET /a >> 200 ok >> pause >> wait 31 | caller cut |
       | wait for a body after HEAD                   | 1   | HEAD /a >> upstream HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n | answer 200; upstream_closed True |
+      | failed probe on a silent kept connection     | 1   | GET /a >> 200 ok >> cut_spare >> wait 0.1 >> probe >> silence >> wait 0.35 >> 200 ok | probe True |
+      | wait of 1 s for a host that is down          | 1   | GET /a >> 200 ok >> cut_spare >> wait 0.1 >> probe >> silence >> refuse 1 >> wait 0.35 | probe False |
       | failed probe despite a 2xx answer            | 1   | probe >> 200 ok | probe True |
       | successful probe with an error status        | 1   | probe >> 503 no | probe False |
       | successful probe with a cut answer           | 1   | probe >> cut | probe False |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -192,7 +192,16 @@
     context.path.settle()
 
 
+def on_cut_spare(context):
+    """Close the connections that have carried no request."""
+    for transport in context.path.upstream_transports:
+        if not transport.history:
+            transport.cut()
+    context.path.settle()
+
+
 EVENTS = {
+    "silence": lambda c: c.path.waiting()[0].clear(),
     "more": lambda c, data: c.path.answer(c.transport, unescape(data)),
     "long": lambda c, count: c.path.answer(c.transport, b"y" * int(count)),
     "claim": lambda c, status: setattr(c.path.claims, "status", ClaimStatus(status)),
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -34,6 +34,9 @@
 from banyanshelf_daemon.upstream_pool import PoolRules
 
 PROBE_TIMEOUT_S = 1.0
+# A kept connection may have gone silent without its upstream. After this time the probe
+# is sent on a new one, which also shows soon whether the host is down.
+KEPT_PROBE_TIMEOUT_S = 0.3
 # Retry-After until the first configuration text has arrived from the store or a peer.
 STARTUP_RETRY_AFTER_S = 1.0
 
@@ -201,7 +204,10 @@
 
 
 class _Probe:
-    """A health probe, which is sent without a permit."""
+    """A health probe, which is sent without a permit.
+
+    On a kept connection it is sent once more, on a new one, if it is not answered soon.
+    """
 
     def __init__(
         self, services: CallServices, upstream: Upstream, request: bytes
@@ -210,17 +216,21 @@
         self._services = services
         self._upstream_id = upstream.id
         self._status = 0
+        self._request = request
         self._connection: UpstreamConnection | None = None
-        self._timer = services.reactor.callLater(PROBE_TIMEOUT_S, self._expired)
-        pool = services.pool_for(upstream)
-        connection = pool.take_idle_connection()
         self._waiter: Deferred[UpstreamConnection] | None = None
-        if connection is not None:
-            self._send(connection, request)
+        self._retry_timer: Any = None
+        self._timer = services.reactor.callLater(PROBE_TIMEOUT_S, self._expired)
+        self._pool = services.pool_for(upstream)
+        connection = self._pool.take_idle_connection()
+        if connection is None:
+            self._send_on_new_connection()
             return
-        self._waiter = pool.wait_for_connection()
-        self._waiter.addCallback(self._send, request)
-        self._waiter.addErrback(self._refused)
+        self._send(connection)
+        if connection.answer_count:
+            self._retry_timer = services.reactor.callLater(
+                KEPT_PROBE_TIMEOUT_S, self._retry
+            )
 
     def answer_begun(self, head: AnswerHead) -> None:
         """Read the status and the load report of an answer."""
@@ -241,10 +251,21 @@
         """Fail the probe."""
         self._finish(False)
 
-    def _send(self, connection: UpstreamConnection, request: bytes) -> None:
+    def _send_on_new_connection(self) -> None:
+        self._waiter = self._pool.wait_for_connection()
+        self._waiter.addCallback(self._send)
+        self._waiter.addErrback(self._refused)
+
+    def _send(self, connection: UpstreamConnection) -> None:
         self._connection = connection
         rules = self._services.dialect.probe_rules()
-        connection.send(request, self, is_head=False, rules=rules)
+        connection.send(self._request, self, is_head=False, rules=rules)
+
+    def _retry(self) -> None:
+        if self._connection is not None:
+            self._connection.cancel()
+            self._connection = None
+        self._send_on_new_connection()
 
     def _refused(self, _failure: Failure) -> None:
         self._finish(False)
@@ -257,7 +278,8 @@
         self._finish(False)
 
     def _finish(self, is_alive: bool) -> None:
-        if self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._retry_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         if not self.result.called:
             self.result.callback(is_alive)
