Run timers by a clock that counts suspended time

Cause: CLOCK_MONOTONIC stands still while a host is suspended. Leases, permits, ejections and deadlines that ran out meanwhile looked valid for as long as the suspension lasted.

Change: the reactor reads CLOCK_BOOTTIME where there is one.

Before: the new scenario of process.feature failed. After: it passes.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/process.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/process.py
@@ -5,10 +5,11 @@
 import gc
 import signal
 import sys
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from banyanshelf_daemon.clock import elapsed_s
+
 EXIT_USAGE = 2
 EXIT_FAILURE = 1
 
@@ -36,7 +37,7 @@
 
     any_reactor: Any = reactor
     # The reactor uses the wall clock, where a clock step would look like a pause.
-    any_reactor.seconds = time.monotonic
+    any_reactor.seconds = elapsed_s
     # There is nothing to reload until the daemon runs.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     daemon = build(any_reactor)
