--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -73,3 +73,8 @@
   # Guards against a gateway that a SIGHUP terminates while it starts.
   Scenario: SIGHUP is ignored before any module of the gateway is imported
     Then the start of the gateway ignores SIGHUP before it imports the gateway
+
+  # Guards against a start that takes longer because of modules that the gateway never uses;
+  # callers wait for it after a power loss.
+  Scenario: Modules of unused protocols are not loaded by the start
+    Then the start of the gateway leaves "urllib.request email.parser http.client" unloaded
--- a/features/steps/platform_e2e_steps.py
+++ b/features/steps/platform_e2e_steps.py
@@ -382,6 +382,21 @@
         assert result.stdout.strip() == "True", result
 
 
+@then('the start of the gateway leaves "{modules}" unloaded')
+def step_unloaded(context, modules):
+    program = (
+        "import runpy, sys\n"
+        "runpy.run_path('platform/run.py', run_name='start')\n"
+        "from twisted.internet import reactor\n"
+        "from banyanshelf_platform import gateway\n"
+        f"print([each for each in {modules.split()!r} if each in sys.modules])\n"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "[]", result.stdout
+
+
 @then("both gateways run")
 def step_run(context):
     assert all(gateway.running for gateway in context.site.gateways)
