Refuse datagrams whose values a gateway cannot act on

Cause: a datagram with a member whose address cannot be parsed was kept, and each later greeting and member change failed. A negative count drew all calls to one upstream. An unknown kind of ended call lost the other ends of its datagram.

Change: the types of datagrams bound counts and times, which excludes NaN, and the decoder checks members' addresses; such a datagram is malformed as a whole and logged.

Before: all scenarios of any_datagram.feature failed. After: they pass.

--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -1,16 +1,30 @@
-"""Datagrams that gateways send each other."""
+"""Datagrams that gateways send each other.
+
+The types bound each value: a count or a time beyond its bounds makes the whole
+datagram malformed, as a gateway that kept such a value would act on it for long.
+"""
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from banyanshelf_core.model import MemberId, ServiceName, UpstreamId
+from banyanshelf_core.model import AnswerKind, MemberId, ServiceName, UpstreamId
+
+# No time in a datagram is longer, in seconds; the bounds also exclude NaN.
+MAX_SECONDS = 1e9
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+# Negative for a time that has passed.
+SecondsFromNow = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
 
 # Load report: running calls, waiting calls, slots, and pace in percent.
-ReportRow = tuple[int, int, int, int]
+ReportRow = tuple[Count, Count, Count, Count]
 
-# A call's number, its ``AnswerKind`` and its service time in microseconds.
-EndedCall = tuple[int, str, int]
+# A call's number, how it ended and its service time in microseconds.
+EndedCall = tuple[int, AnswerKind, Count]
 
 
 class LoadUpdate(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -26,17 +40,18 @@
     """
 
     sender: MemberId
-    counts: dict[UpstreamId, int]
+    counts: dict[UpstreamId, Count]
     results: list[tuple[UpstreamId, str]]
     reports: dict[UpstreamId, ReportRow]
     revision: int
     is_full_snapshot: bool = False
-    uninterrupted_s: float = 0.0
+    uninterrupted_s: Seconds = 0.0
     ended_calls: list[EndedCall] = []
     placed_calls: list[int] = []
 
 
-MemberRow = tuple[str, str, str, int, float]
+Capacity = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+MemberRow = tuple[str, str, str, int, Capacity]
 
 
 class Greeting(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -77,11 +92,11 @@
     """
 
     sender: MemberId
-    counts: dict[UpstreamId, int]
+    counts: dict[UpstreamId, Count]
     results: list[tuple[UpstreamId, str]]
     members: list[MemberRow]
     revision: int
-    uninterrupted_s: float = 0.0
+    uninterrupted_s: Seconds = 0.0
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -91,8 +106,8 @@
     number: int
     service: ServiceName
     work_class: str
-    target_s: float
-    deadline_s: float
+    target_s: SecondsFromNow
+    deadline_s: SecondsFromNow
     excluded: list[UpstreamId]
     only_idle: bool
     priority: int
@@ -110,9 +125,9 @@
     is_decided: bool
     upstream: UpstreamId = ""
     reason: str = ""
-    retry_after_s: float = 0.0
+    retry_after_s: Seconds = 0.0
     candidates: int = 0
-    hedge_after_s: float | None = None
+    hedge_after_s: SecondsFromNow | None = None
     basis: dict[str, float] = {}
 
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
@@ -8,7 +8,7 @@
 from logbook import Logger
 
 from banyanshelf_core.datagrams import EndedCall, LoadUpdate, ReportRow, ZoneDigest
-from banyanshelf_core.model import LoadReport, Member, MemberId, UpstreamId
+from banyanshelf_core.model import AnswerKind, LoadReport, Member, MemberId, UpstreamId
 from banyanshelf_core.zone_digest import (
     DIGEST_PERIOD_S,
     AggregatorSelector,
@@ -142,7 +142,9 @@
         """Publish the result of a call with the next update."""
         self._results.append((upstream_id, kind))
 
-    def publish_call_end(self, number: int, kind: str, service_time_us: int) -> None:
+    def publish_call_end(
+        self, number: int, kind: AnswerKind, service_time_us: int
+    ) -> None:
         """Report the end of a call to the aggregator that placed it."""
         self._ended.append((number, kind, service_time_us))
         self._schedule_flush()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -159,7 +159,7 @@
     ) -> None:
         """End calls; see :class:`~banyanshelf_daemon.load_sharing.PlacedCalls`."""
         for number, kind, service_time_us in ended:
-            self._end(sender, number, AnswerKind(kind), service_time_us)
+            self._end(sender, number, kind, service_time_us)
         if placed is None:
             return
         latest = self._reactor.seconds() - UNLISTED_CALL_TIMEOUT_S
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -329,7 +329,7 @@
             if not self._aggregator_placed_by_upstream[sample.upstream]:
                 del self._aggregator_placed_by_upstream[sample.upstream]
             self._sharing.publish_call_end(
-                permit.number, str(sample.kind), sample.service_time_us
+                permit.number, AnswerKind(sample.kind), sample.service_time_us
             )
             return
         self._publish_count(selector, sample.upstream)
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
+
 import msgspec
 
-from banyanshelf_core.datagrams import Datagram
+from banyanshelf_core.datagrams import Datagram, Greeting, ZoneDigest
 from banyanshelf_core.errors import CodecError
 
 # Fits into one Ethernet frame, as the loss of one fragment loses the whole datagram.
 MAX_DATAGRAM_BYTES = 1400
+MAX_PORT = 65535
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(Datagram)
@@ -26,6 +29,25 @@
 def decode_datagram(content: bytes) -> Datagram:
     """Decode one datagram; raises :class:`CodecError` if ``content`` is invalid."""
     try:
-        return _decoder.decode(content)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        datagram = _decoder.decode(content)
+        _check_addresses(datagram)
+    except ValueError as error:
+        # Includes the errors of msgspec.
         raise CodecError(f"malformed datagram ({error}); it is ignored") from error
+    return datagram
+
+
+def _check_addresses(datagram: Datagram) -> None:
+    """Raise :class:`ValueError` for a member that no datagram can be sent to."""
+    match datagram:
+        case Greeting():
+            rows = [datagram.sender, *datagram.members]
+        case ZoneDigest():
+            rows = datagram.members
+        case _:
+            return
+    for _, address, *_ in rows:
+        host, _, port = address.rpartition(":")
+        ip_address(host.strip("[]"))
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"port {port} of a member is out of range")
