Start the sequence of a split at a random place with each version

Cause: each gateway had one start of the sequences by which splits choose their parts, and each version of the configuration began there again. With a few requests per version, a gateway sent the same parts the same requests each time; in the test, a part of 0.7 got 0.5.

Change: each version begins at a random place.

Before: both new scenarios of calls.feature failed with a share of 0.5. After: they pass.

--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -101,6 +101,20 @@
     When the health probe of an upstream is answered with a call's 200 and its own 503
     Then the health probe has failed
 
+  # Guards against a split whose sequence starts anew at the same place with each version:
+  # while versions follow each other quickly, one service got all of a gateway's requests.
+  Scenario: A split follows its weights while versions follow each other quickly
+    When 150 versions take effect and 2 requests arrive on a split of 7 to 3 after each one
+    Then the service of the larger part has got 0.6 to 0.8 of the requests
+
+  # Guards against requests that are moved to the other service of a split because one has
+  # no usable upstream: what it cannot take is refused as not run.
+  Scenario: A part of a split without a usable upstream refuses its share
+    Given the placement refuses all calls of service "shop"
+    When 150 versions take effect and 2 requests arrive on a split of 7 to 3 after each one
+    Then the service of the larger part has got 0.6 to 0.8 of the requests
+    And every request of "shop" got 503 with a Retry-After
+
   # Guards against an upstream's error that is replaced by another one.
   Scenario: An upstream's error is passed on unchanged
     When a client sends an unsafe request with 400 ms left
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -1,9 +1,11 @@
 """Steps for calls with the header fields of the operators' platform."""
 
 from behave import given, then, when
-from datapath_support import DataPath, split_answers
+from datapath_support import DataPath, new_text, split_answers
+from twisted.internet.defer import fail
 from twisted.internet.error import ConnectionDone
 
+from banyanshelf_daemon.interfaces import NotAdmittedError
 from banyanshelf_platform.platform_dialect import PlatformDialect
 
 TEXT = """
@@ -158,6 +160,71 @@
     assert context.probe == [False], context.probe
 
 
+SPLIT_TEXT = TEXT + """
+[services.shop]
+path_prefixes = []
+[[routes]]
+host = "b.example"
+path_prefix = "/split/"
+idempotent = true
+max_attempts = 1
+split = [{ service = "desk", weight = 7 }, { service = "shop", weight = 3 }]
+"""
+
+
+@given('the placement refuses all calls of service "{service}"')
+def step_refusing_service(context, service):
+    permits = context.path.permits
+    granting = permits.acquire
+
+    def acquire(service_name, request):
+        if service_name == service:
+            return fail(NotAdmittedError("no upstream is usable", 0.25))
+        return granting(service_name, request)
+
+    permits.acquire = acquire
+
+
+@when(
+    "{versions:d} versions take effect and {count:d} requests arrive on a split of "
+    "7 to 3 after each one"
+)
+def step_versions(context, versions, count):
+    permits, context.services = context.path.permits, []
+    granting = permits.acquire
+
+    def acquire(service_name, request):
+        context.services.append(service_name)
+        return granting(service_name, request)
+
+    permits.acquire = acquire
+    request = b"GET /split/1 HTTP/1.1\r\nHost: b.example\r\n" + (
+        f"{ATTEMPT_ID}: mine\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    for _ in range(versions):
+        context.path.collaborators.active.return_value = new_text(SPLIT_TEXT)
+        for _ in range(count):
+            context.path.send(context.caller, request)
+            note_request(context)
+            if context.path.waiting():
+                step_answer(context, 200, "mine")
+
+
+@then("the service of the larger part has got {low:g} to {high:g} of the requests")
+def step_split_share(context, low, high):
+    share = context.services.count("desk") / len(context.services)
+    assert low <= share <= high, share
+
+
+@then('every request of "{service}" got 503 with a Retry-After')
+def step_split_refused(context, service):
+    found = answers(context)
+    assert len(found) == len(context.services)
+    for name, (status, headers, _) in zip(context.services, found, strict=True):
+        assert status == (503 if name == service else 200), (name, status)
+        assert name != service or float(headers["retry-after"]) > 0
+
+
 @when("the upstream resets the connection")
 def step_reset(context):
     context.transport.clear()
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -50,6 +50,7 @@
     placed_calls: list[int] = []
 
 
+# Any unit; the bounds exclude NaN, by which members cannot be ranked.
 Capacity = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 MemberRow = tuple[str, str, str, int, Capacity]
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -82,7 +82,7 @@
             dialect,
             pool_rules,
         )
-        self._split_offset = rng.random()
+        self._rng = rng
         self._matcher: RequestMatcher | None = None
         self._matcher_text: ActiveText | None = None
         self._calls = 0
@@ -181,7 +181,8 @@
 
     def _matcher_for(self, active: ActiveText) -> RequestMatcher:
         if self._matcher is None or self._matcher_text is not active:
-            self._matcher = RequestMatcher.from_text(active.text, self._split_offset)
+            # With a fixed offset, splits would start at the same part in each version.
+            self._matcher = RequestMatcher.from_text(active.text, self._rng.random())
             self._matcher_text = active
         return self._matcher
 
