--- a/features/platform/store_view.feature
+++ b/features/platform/store_view.feature
@@ -233,3 +233,25 @@
     And a gateway that follows it
     When nothing changes in the store for 30 s
     Then the gateway's calls have cost at most 12 full reads
+
+  # Guards against calls to a store that is down by every gateway several times a second: in
+  # an outage of 8 s, 115 gateways made 4,000 calls. Relays find out that it is back.
+  Scenario: In an outage, a gateway that has relays calls the store rarely
+    Given a store with configuration 3 and upstreams "i-1"
+    And a gateway that follows a relay
+    When the store and all mirrors are down for 8 s
+    Then the gateway's calls have cost at most 14 full reads
+    When the store and all mirrors answer again
+    And the store writes configuration 4
+    And 2.2 s passes
+    Then the gateway has configuration 4 and uses "i-1"
+
+  # Guards against a recovery that no gateway notices at once.
+  Scenario: In an outage, a gateway without a relay tries the store several times a second
+    Given a store with configuration 3 and upstreams "i-1"
+    And a gateway that knows no relay
+    When the store and all mirrors are down for 8 s
+    And the store and all mirrors answer again
+    And the store writes configuration 4
+    And 0.6 s passes
+    Then the gateway has configuration 4 and uses "i-1"
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -286,6 +286,18 @@
     advance(context, seconds)
 
 
+@when("the store and all mirrors are down for {seconds:g} s")
+def step_all_down(context, seconds):
+    context.store.is_down = True
+    context.store.cut_watches()
+    step_no_changes(context, seconds)
+
+
+@when("the store and all mirrors answer again")
+def step_all_back(context):
+    context.store.is_down = False
+
+
 @then("the gateway's calls have cost at most {limit:g} full reads")
 def step_cost(context, limit):
     client = context.clients[STORE]
