Log the request limits that upstreams state and what is sent there

It named neither the limit of an upstream nor health probes, and a decision did not say which attempt it was for.

No decision depends on it.

--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -48,6 +48,10 @@
     """A store record cannot be read or fails its digest check."""
 
 
+class RequestLimitError(BanyanshelfError):
+    """A request limit in an upstream's answer cannot be read; it is ignored."""
+
+
 class CodecError(BanyanshelfError):
     """A peer message cannot be decoded; the link is closed."""
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -28,6 +28,7 @@
 from banyanshelf_core.placement.pace_model import PaceModel
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_core.placement.work_estimate import WorkEstimate
+from banyanshelf_core.request_limit import StatedLimit
 
 # Upstreams slow down when more than this share of their slots is in use.
 NEARLY_FULL_SHARE = 0.8
@@ -147,6 +148,7 @@
             1 / load.rate,
             now - load.reported_at,
             load.upstream.zone == self._zone,
+            load.stated_limit.per_s,
         )
 
     def expected_s(
@@ -265,6 +267,18 @@
             load.note_report(now, report, self.pace.mean_rate)
             self.pace.add_sample(load.rate, previous_rate, gap_s)
 
+    def note_request_limit(self, upstream_id: UpstreamId, stated: StatedLimit) -> bool:
+        """Record what an upstream states; returns whether its limit has changed.
+
+        A statement that is older than the known one is ignored.
+        """
+        load = self.loads_by_id.get(upstream_id)
+        if load is None or stated.stated_at < load.stated_limit.stated_at:
+            return False
+        is_changed = stated.per_s != load.stated_limit.per_s
+        load.stated_limit = stated
+        return is_changed
+
     def set_member_counts(
         self, member_id: MemberId, count_by_upstream: Mapping[UpstreamId, int]
     ) -> None:
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
@@ -43,7 +43,8 @@
     """The selected upstream and the values that the decision was based on.
 
     ``expected_s`` is the expected time until the response. ``report_age_s`` is the age
-    of the last load report, infinite before the first one.
+    of the last load report, infinite before the first one. ``request_limit`` is the
+    limit that the upstream states, in requests per second.
     """
 
     upstream: Upstream
@@ -54,6 +55,7 @@
     pace: float = 1.0
     report_age_s: float = 0.0
     is_same_zone: bool = True
+    request_limit: float | None = None
 
 
 class Refused(NamedTuple):
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from banyanshelf_core.model import LoadReport, MemberId, Upstream
+from banyanshelf_core.request_limit import NO_STATEMENT, StatedLimit
 
 # Calls of gateways that do not share their counts are known from load reports only.
 # Their number decays with this time constant, which is about the duration of a call.
@@ -41,6 +42,7 @@
     ejection_s: float = 0.0
     needs_probe: bool = False
     rate: float = 1.0
+    stated_limit: StatedLimit = NO_STATEMENT
     _progress_s: float = 0.0
     _progress_at: float = 0.0
     _unattributed: float = 0.0
--- /dev/null
+++ b/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
@@ -0,0 +1,40 @@
+"""Request limits that upstreams state in their answers."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import NamedTuple
+
+from banyanshelf_core.errors import RequestLimitError
+
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+
+
+class StatedLimit(NamedTuple):
+    """What an upstream stated last: a limit for all gateways together, or none.
+
+    ``per_s`` is in requests per second; None means that the upstream states no limit.
+    ``stated_at`` is the time of the answer, in seconds.
+    """
+
+    per_s: float | None
+    stated_at: float
+
+
+NO_STATEMENT = StatedLimit(None, -math.inf)
+
+
+def parse_request_limit(value: bytes) -> float:
+    """Return a limit in requests per second; raises :class:`RequestLimitError`.
+
+    Example:
+        ``parse_request_limit(b"2.5")`` is 2.5.
+
+    """
+    if not _DECIMAL.fullmatch(value.strip()):
+        raise RequestLimitError(
+            f"request limit {value[:32]!r} is not a decimal number; the upstream must "
+            "state requests per second, such as 2.5"
+        )
+    return float(value)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -9,6 +9,7 @@
 from banyanshelf_core.call_messages import CrashClear, CrashMark
 from banyanshelf_core.caller_waits import CallerWaitEstimator
 from banyanshelf_core.crash_guard import CrashGuard
+from banyanshelf_core.errors import RequestLimitError
 from banyanshelf_core.model import Broadcast, MemberId, Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
 from banyanshelf_core.text import Protection, Service
@@ -90,6 +91,7 @@
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
+        self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
         network.subscribe(CrashMark, self._receive_mark)
         network.subscribe(CrashClear, self._receive_clear)
@@ -146,13 +148,30 @@
             self._directory.report_leaving(upstream_id, "another instance answered")
 
     def note_load(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
-        """Pass the load report of an answer, if any, to the permit service."""
+        """Pass the request limit and the load report of an answer on."""
+        if not self.dialect.is_misdirected(head):
+            self._note_limit(upstream_id, head)
         if self._note_load_report is None:
             return
         report = self.dialect.load_report(head)
         if report is not None:
             self._note_load_report(upstream_id, report)
 
+    def _note_limit(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
+        if self._note_request_limit is None:
+            return
+        try:
+            limit = self.dialect.request_limit(head)
+        except RequestLimitError as error:
+            self.metrics.count("signal.malformed_limit")
+            self.log.warning(
+                "request limit ignored", upstream=upstream_id, detail=str(error)
+            )
+            return
+        # An error answer may come from a part of the server that states no limits.
+        if limit is not None or head.status < 500:
+            self._note_request_limit(upstream_id, limit)
+
     def broadcast(self, effects: list[Broadcast]) -> None:
         """Send the messages of the crash guard to the other daemons."""
         for effect in effects:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -11,6 +11,7 @@
 
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.model import LoadReport, Outcome, UpstreamId
+from banyanshelf_core.request_limit import parse_request_limit
 from banyanshelf_daemon.http_message import (
     Answer,
     AnswerHead,
@@ -100,6 +101,12 @@
     def load_report(self, head: AnswerHead) -> LoadReport | None:
         """Return the upstream's load report, if the answer has one."""
 
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """Return the limit in requests per second that the upstream states, if any.
+
+        Raises :class:`RequestLimitError` if it cannot be read.
+        """
+
     def answered_by(self, head: AnswerHead) -> UpstreamId | None:
         """Return the id of the upstream that answered, if the answer states it."""
 
@@ -120,6 +127,7 @@
             b"upstream-state",
             b"upstream-outcome",
             b"upstream-request-id",
+            b"upstream-request-limit",
         }
     )
     internal_prefix = b"banyanshelf-"
@@ -189,6 +197,11 @@
             return None
         return LoadReport(int(report.group(1)), 0, int(report.group(2)))
 
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """Read ``Upstream-Request-Limit``."""
+        value = header_value(head.headers, b"upstream-request-limit")
+        return None if value is None else parse_request_limit(value)
+
     def answered_by(self, head: AnswerHead) -> UpstreamId | None:
         """Return None, as answers do not carry the id of their upstream."""
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
@@ -113,6 +113,9 @@
     ) -> Deferred[None]:
         """Probe one upstream; its report, if any, is applied before the result."""
         self._probing.add(upstream.id)
+        load = selector.loads_by_id.get(upstream.id)
+        if load is not None and load.stated_limit.per_s is not None:
+            log.info("health probe of upstream {}, which states a limit", upstream.id)
 
         def answered(result: object) -> None:
             self._probing.discard(upstream.id)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -225,6 +225,7 @@
             service=self.route.service_name,
             upstream=upstream.id,
             reason=reason,
+            attempt=self._attempt_count + 1,
             candidates=permit.candidates,
             version=self.active.version,
             epoch=permit.epoch_number,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
@@ -6,9 +6,12 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import Any
 
+from logbook import Logger
+
 from banyanshelf_core.datagrams import ReportRow
 from banyanshelf_core.model import LoadReport, ServiceName, UpstreamId
 from banyanshelf_core.placement.choice import PlacementSelector
+from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ConfigurationSource,
@@ -18,6 +21,8 @@
 # The upstreams of a service are not probed after this time without a call.
 SERVICE_IDLE_TIMEOUT_S = 1.0
 
+log = Logger("loads")
+
 
 class ServiceLoads:
     """Placement selectors by service.
@@ -77,6 +82,21 @@
         selector.note_report(self._reactor.seconds(), upstream_id, report)
         return True
 
+    def note_request_limit(self, upstream_id: UpstreamId, stated: StatedLimit) -> bool:
+        """Apply what an upstream states; return whether its limit has changed."""
+        selector = self.selector_for(upstream_id)
+        if selector is None or not selector.note_request_limit(upstream_id, stated):
+            return False
+        if stated.per_s is None:
+            log.info("upstream {} states no request limit any more", upstream_id)
+        else:
+            log.info(
+                "upstream {} takes {:g} requests a second from all gateways",
+                upstream_id,
+                stated.per_s,
+            )
+        return True
+
     def snapshot(self) -> dict[str, Any]:
         """Return the load figures for the status page."""
         now = self._reactor.seconds()
@@ -88,6 +108,7 @@
                     "pace": round(1 / load.rate, 2),
                     "failure_share": round(load.failure_share(now), 2),
                     "ejected": load.is_ejected(now),
+                    "request_limit": load.stated_limit.per_s,
                 }
                 for upstream_id, load in selector.loads_by_id.items()
             }
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -34,6 +34,7 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.health_questions import HealthProber
@@ -95,6 +96,8 @@
     }
     if math.isfinite(found.report_age_s):
         basis["report_age_ms"] = round(found.report_age_s * 1000)
+    if found.request_limit is not None:
+        basis["request_limit"] = found.request_limit
     return basis
 
 
@@ -344,6 +347,12 @@
         if self.loads.note_report(upstream_id, report):
             self._sharing.publish_report(upstream_id, report)
 
+    def note_request_limit(self, upstream_id: UpstreamId, limit: float | None) -> None:
+        """Apply the request limit that an answer states, or that it states none."""
+        self.loads.note_request_limit(
+            upstream_id, StatedLimit(limit, self._reactor.seconds())
+        )
+
     def _hedge_after_s(
         self,
         now: float,
