Add scenarios in which upstreams get more requests than they take

What is counted is all that reaches an upstream; the bound is the users': in any 4 s, one and a half times the limit and 5 more, from 3 s after it was first stated. The simulated zone now has any number of gateways and zones.

--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -152,6 +152,8 @@
         self.kind = lambda upstream_id: "answered"
         self.probes = []
         self.probe_result = lambda upstream_id: True
+        self.limit_by_upstream = {}
+        self.received = defaultdict(list)
         text = text or f"[services.desk]\nslots_per_upstream = {slots}\n"
         self.gateways = {}
         for number in range(gateways):
@@ -172,6 +174,7 @@
     def probe(self, upstream):
         """Answer a health probe after 6 ms."""
         self.probes.append((self.clock.seconds(), upstream.id))
+        self.received[upstream.id].append(self.clock.seconds())
         result = Deferred()
         self.clock.callLater(0.006, result.callback, self.probe_result(upstream.id))
         return result
@@ -282,6 +285,7 @@
         assert permit.upstream.state == "live", permit
         self.running[upstream_id] += 1
         self.permitted[upstream_id] += 1
+        self.received[upstream_id].append(self.clock.seconds())
         self.highest[upstream_id] = max(
             self.highest[upstream_id], self.running[upstream_id]
         )
@@ -291,11 +295,18 @@
         def end():
             self.running[upstream_id] -= 1
             self.answered += 1
+            gateway.clock.fire(self.state_limit, (gateway, upstream_id))
             sample = AnswerSample(upstream_id, int(duration * 1e6), kind)
             gateway.clock.fire(gateway.coordination.release, (permit, sample))
 
         self.clock.callLater(duration, end)
 
+    def state_limit(self, gateway, upstream_id):
+        """Deliver what an answer states about the upstream's limit."""
+        note = getattr(gateway.coordination, "note_request_limit", None)
+        if note is not None:
+            note(upstream_id, self.limit_by_upstream.get(upstream_id))
+
     def advance(self, seconds, step=0.0005):
         """Advance the clock in small steps."""
         for _ in range(round(seconds / step)):
--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -63,34 +63,32 @@
 class AdmissionZone(LoadZone):
     """A zone whose gateways admit calls; see ``LoadZone`` for the network."""
 
-    def __init__(self, count, upstreams, slots, rng):
-        self.directory = Directory(
-            {
-                f"u{number + 1}": Upstream(
-                    f"u{number + 1}", SERVICE, f"127.1.0.{number + 1}:80", "a", slots
-                )
-                for number in range(upstreams)
-            }
-        )
+    def __init__(self, count, upstreams, slots, rng, **options):
+        listed = [self.upstream_of(number, slots) for number in range(upstreams)]
+        self.directory = Directory({each.id: each for each in listed})
         self.probe_count = Counter()
         self.calls = []
-        super().__init__(count, upstreams, rng)
+        super().__init__(count, upstreams, rng, **options)
+
+    def upstream_of(self, number, slots):
+        name = f"u{number + 1}"
+        return Upstream(name, SERVICE, f"127.1.0.{number + 1}:80", "a", slots)
 
     def add_sharing(self, name, link):
         admission = SharedAdmission(
             self.reactor,
-            "a",
+            link.members.identity.zone,
             self.directory,
             self.directory,
             link,
             random.Random(name),
-            lambda upstream: self._probe(name, upstream),
+            lambda upstream, **options: self._probe(name, upstream, **options),
             lambda: (0, 0.0),
         )
         admission.start()
         return admission
 
-    def _probe(self, name, upstream):
+    def _probe(self, name, upstream, **_options):
         self.probe_count[upstream.id] += 1
         report = LoadReport(0, 0, upstream.slots, 1.0)
         self.sharings[name].note_load_report(upstream.id, report)
--- a/features/steps/simulated_gossip.py
+++ b/features/steps/simulated_gossip.py
@@ -13,6 +13,12 @@
 CALL_S = 0.1
 
 
+def host_of(name):
+    """Return the address of a gateway, such as 127.0.0.7 of ``g7``."""
+    high, low = divmod(int(name[1:]), 256)
+    return f"127.0.{high}.{low}"
+
+
 class Sink:
     """Counts of one gateway, as ``SharedAdmission`` keeps them."""
 
@@ -90,24 +96,35 @@
         self.reactor = _Reactor()
         self.upstreams = [f"u{number + 1}" for number in range(upstreams)]
         self.lost_share = 0.0
+        self.seeds = ["g1"]
+        self.cut_off = set()
         self.sent_by_id = Counter()
+        self._name_by_host = {}
+        self._incarnation_by_name = Counter()
         self.links, self.sharings, self.sinks = {}, {}, {}
         self._arrivals = 0.0
         for number in range(count):
             self._add(f"g{number + 1}", 1.0)
 
     def _add(self, name, capacity):
-        address = f"127.0.0.{name[1:]}:7000"
-        identity = Member(name, address, self._zone_of(int(name[1:])), 1)
+        host = host_of(name)
+        self._name_by_host[host] = name
+        self._incarnation_by_name[name] += 1
+        identity = Member(
+            name,
+            f"{host}:7000",
+            self._zone_of(int(name[1:])),
+            self._incarnation_by_name[name],
+        )
         link = self.links[name] = GossipLink(
             self.reactor,
             identity,
-            ["127.0.0.1:7000"],
+            [f"{host_of(seed)}:7000" for seed in self.seeds],
             random.Random(name),
             lambda revision, uninterrupted_s: None,
             capacity,
         )
-        link.transport = _Transport(self, name, (f"127.0.0.{name[1:]}", 7000))
+        link.transport = _Transport(self, name, (host, 7000))
         link.start()
         self.sharings[name] = self.add_sharing(name, link)
 
@@ -129,12 +146,15 @@
 
     def post(self, name, source, content, address):
         self.sent_by_id[name] += 1
+        if name in self.cut_off:
+            return
         if self.rng.random() >= self.lost_share:
             self.reactor.callLater(0.0002, self._deliver, source, content, address)
 
     def _deliver(self, source, content, address):
-        link = self.links.get(f"g{address[0].rpartition('.')[2]}")
-        if link is not None:
+        name = self._name_by_host.get(address[0])
+        link = self.links.get(name)
+        if link is not None and name not in self.cut_off:
             link.datagramReceived(content, source)
 
     def begin(self, name, upstream, count):
