Let the coordinator keep the request limits of a service's upstreams

Cause: a permit says that a slot is free, not how often it may be used. Idle permits were used again and again, and a new grant, a probe of an ejected upstream or the local share without a coordinator asked for no rate. The same class as at the gateways without a coordinator: a bound for the whole fleet that no place in the fleet keeps.

Change: the coordinator holds a token bucket per upstream that states a limit and grants a permit for one call per token, also for health probes, which are then sent once. Holders return permits of such upstreams after each call. Without a coordinator, the members with a local share of an upstream have equal parts of its limit; the coordinator uses what the members without a link to it leave. Callers go to other upstreams; if all state a limit, a call whose expected wait exceeds its time is refused at once. An upstream of which nothing was heard for 4 s is probed, since only an answer tells that its limit is gone.

Why it works: the one place that grants slots also grants requests, so the sum over daemons is the limit.

--- a/features/steps/permit_fleet.py
+++ b/features/steps/permit_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter, defaultdict
+from functools import partial
 from types import SimpleNamespace
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -84,7 +85,7 @@
             ),
             self,
             random.Random(f"{fleet.seed}/{member_id}"),
-            fleet.probe,
+            partial(fleet.probe, asker=self),
         )
 
     def send(self, member_id, message):
@@ -148,6 +149,7 @@
         self.answered = self.refused = self.started = 0
         self.waiting = {}
         self.waits = []
+        self.refusal_waits = []
         self.service_time = lambda upstream_id: self.rng.expovariate(1 / 0.02)
         self.kind = lambda upstream_id: "answered"
         self.probes = []
@@ -171,12 +173,14 @@
             gateway.coordination.start()
         self.advance(0.5)
 
-    def probe(self, upstream):
+    def probe(self, upstream, *, is_repeated=True, asker=None):
         """Answer a health probe after 6 ms."""
         self.probes.append((self.clock.seconds(), upstream.id))
         self.received[upstream.id].append(self.clock.seconds())
         result = Deferred()
         self.clock.callLater(0.006, result.callback, self.probe_result(upstream.id))
+        if asker is not None:
+            self.clock.callLater(0.006, self.state_limit, asker, upstream.id)
         return result
 
     def deliver(self, sender, receiver, message):
@@ -265,6 +269,7 @@
         def on_refused(failure):
             failure.trap(NotAdmittedError, CancelledError)
             outcome.refused = failure.value
+            self.refusal_waits.append(self.clock.seconds() - arrived)
             self.waiting.pop(number)
             self.refused += 1
 
@@ -303,9 +308,9 @@
 
     def state_limit(self, gateway, upstream_id):
         """Deliver what an answer states about the upstream's limit."""
-        note = getattr(gateway.coordination, "note_request_limit", None)
-        if note is not None:
-            note(upstream_id, self.limit_by_upstream.get(upstream_id))
+        gateway.coordination.note_request_limit(
+            upstream_id, self.limit_by_upstream.get(upstream_id)
+        )
 
     def advance(self, seconds, step=0.0005):
         """Advance the clock in small steps."""
--- a/packages/banyanshelf-bench/src/banyanshelf_bench/permit_benchmark.py
+++ b/packages/banyanshelf-bench/src/banyanshelf_bench/permit_benchmark.py
@@ -151,7 +151,9 @@
             on_upstreams_change=lambda handler: None,
         )
 
-        def send_probe(upstream: Upstream) -> Deferred[bool]:
+        def send_probe(
+            upstream: Upstream, *, is_repeated: bool = True
+        ) -> Deferred[bool]:
             return succeed(True)
 
         return Coordination(
--- a/packages/banyanshelf-core/src/banyanshelf_core/messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/messages.py
@@ -298,6 +298,19 @@
     roles: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimitNotice:
+    """Announces a change of the request limit that an upstream states.
+
+    ``micro_per_s`` is in millionths of a request per second, for all gateways together;
+    a negative value means that the upstream states no limit any more.
+    """
+
+    upstream: str
+    micro_per_s: int
+    age_us: int
+
+
 PeerMessage = (
     Hello
     | Ping
@@ -320,4 +333,5 @@
     | ClaimComplete
     | ClaimCompleteAck
     | Leaving
+    | RequestLimitNotice
 )
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/coordinator.py
@@ -29,10 +29,12 @@
     Ledger,
     counts_of,
 )
-from banyanshelf_core.permits.local_share import local_share
+from banyanshelf_core.permits.limit_gate import LimitGate
+from banyanshelf_core.permits.local_share import local_limit_share, local_share
 from banyanshelf_core.permits.settings import CoordinatorSettings
 from banyanshelf_core.permits.slot_choice import SlotSelector
 from banyanshelf_core.probe_budget import ProbeBudget
+from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 COLLECTION_TIMEOUT_S = 0.3
@@ -70,7 +72,11 @@
         self.budget = ProbeBudget(now, settings.probe_share)
         self.ledger = Ledger()
         self._zones_by_member = dict(zones_by_member)
-        self._selector = SlotSelector(rng, self.health, self.ledger.outstanding)
+        self._limits = LimitGate(self._share_of_limit)
+        self._limit_shares: dict[UpstreamId, float] = {}
+        self._selector = SlotSelector(
+            rng, self.health, self.ledger.outstanding, self._limits
+        )
         self._scheduler = GrantScheduler(
             service_name, epoch, self.ledger, self._selector, self._zones_by_member
         )
@@ -149,6 +155,7 @@
         if account is None:
             return []
         account.is_linked = is_up
+        self._limit_shares.clear()
         account.has_reported = False
         account.arrivals.clear()
         account.is_told_of_contention = False
@@ -162,6 +169,7 @@
         if account is None:
             return []
         account.is_linked = False
+        self._limit_shares.clear()
         account.has_reported = False
         account.arrivals.clear()
         counts = counts_of(grant.permits)
@@ -187,6 +195,7 @@
                 effects.append(Send(member_id, self._announce()))
         self._zones_by_member = dict(zones_by_member)
         self._scheduler.zones_by_member = self._zones_by_member
+        self._limit_shares.clear()
         self._end_collecting_if_complete(now)
         return effects + self._serve(now)
 
@@ -196,10 +205,25 @@
         """Replace the upstreams and recall the permits above their new limits."""
         self.health.set_upstreams(now, upstreams_by_id)
         self.health.refresh(now)
+        self._limits.retain(upstreams_by_id)
+        self._limit_shares.clear()
         self._selector.rebuild(now)
         upstream_ids = set(self.ledger.outstanding) | set(upstreams_by_id)
         return self._recall_excess(now, upstream_ids) + self._serve(now)
 
+    def note_request_limit(
+        self, now: float, upstream_id: UpstreamId, stated: StatedLimit
+    ) -> list[CoordinatorEffect]:
+        """Apply what an upstream states; permits that could be used again return."""
+        if upstream_id not in self.health.records_by_id:
+            return []
+        if not self._limits.note(upstream_id, stated):
+            return []
+        self._selector.update(now, upstream_id)
+        if stated.per_s is None:
+            return self._serve(now)
+        return self._scheduler.recalls.recall_above(upstream_id, 0)
+
     def on_probe_result(
         self, now: float, upstream_id: UpstreamId, *, succeeded: bool
     ) -> list[CoordinatorEffect]:
@@ -211,11 +235,12 @@
         excess_s = now - started - self.settings.probe_cost_s
         if excess_s > 0:
             self.budget.spend(now, upstream_id, excess_s)
-        if upstream_id in self.health.records_by_id:
-            if succeeded:
-                self.health.readmit(now, upstream_id, probed=True)
-            else:
+        record = self.health.records_by_id.get(upstream_id)
+        if record is not None:
+            if not succeeded:
                 self.health.eject(now, upstream_id)
+            elif record.ejected_until is not None:
+                self.health.readmit(now, upstream_id, probed=True)
         self._selector.update(now, upstream_id)
         return self._serve(now)
 
@@ -232,7 +257,9 @@
             self._refreshed_at = now
             self.health.refresh(now)
             effects += self._end_ejections(now)
+            effects += self._recheck_limits(now)
             self._selector.rebuild(now)
+        self._selector.update_limited(now)
         effects += self._announce_to_unreported(now)
         return effects + self._serve(now) + self._scheduler.refresh_waiting(now)
 
@@ -298,6 +325,17 @@
             if not account.has_reported and not account.held:
                 self.ledger.assume_held(member_id, self._local_share_of(member_id))
 
+    def _share_of_limit(self, upstream_id: UpstreamId) -> float:
+        """Return the part of a limit that is not used by gateways without a link."""
+        share = self._limit_shares.get(upstream_id)
+        if share is None:
+            accounts = self.ledger.accounts_by_member
+            unlinked = [each for each in accounts if not accounts[each].is_linked]
+            slots = self.health.records_by_id[upstream_id].upstream.slots
+            share = 1 - local_limit_share(unlinked, accounts, upstream_id, slots)
+            self._limit_shares[upstream_id] = share
+        return share
+
     def _local_share_of(self, member_id: MemberId) -> Counter[UpstreamId]:
         members = {*self._zones_by_member, member_id}
         return Counter(
@@ -319,8 +357,24 @@
             if not self.budget.covers(now, upstream_id, slots, cost_s):
                 self.health.readmit(now, upstream_id, probed=False)
             elif self.ledger.outstanding[upstream_id] < slots:
-                self.budget.spend(now, upstream_id, cost_s)
-                self._probe_started_by_id[upstream_id] = now
-                self.ledger.outstanding[upstream_id] += 1
-                effects.append(Probe(upstream_id))
+                effects += self._probe(now, upstream_id)
         return effects
+
+    def _recheck_limits(self, now: float) -> list[CoordinatorEffect]:
+        """Probe limited upstreams of which nothing was heard for a while."""
+        effects: list[CoordinatorEffect] = []
+        for upstream_id in self._limits.unheard(now):
+            record = self.health.records_by_id[upstream_id]
+            is_busy = upstream_id in self._probe_started_by_id
+            if record.ejected_until is None and not is_busy:
+                effects += self._probe(now, upstream_id)
+        return effects
+
+    def _probe(self, now: float, upstream_id: UpstreamId) -> list[CoordinatorEffect]:
+        """Start a health probe, which takes a slot and a request of the limit."""
+        if not self._limits.take(now, upstream_id, is_probe=True):
+            return []
+        self.budget.spend(now, upstream_id, self.settings.probe_cost_s)
+        self._probe_started_by_id[upstream_id] = now
+        self.ledger.outstanding[upstream_id] += 1
+        return [Probe(upstream_id, is_repeated=self._limits.per_s(upstream_id) is None)]
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/effects.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/effects.py
@@ -29,9 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Probe an ejected upstream and report the result to the coordinator."""
+    """Probe an upstream and report the result to the coordinator.
+
+    With ``is_repeated``, the probe may be sent once more on another connection.
+    """
 
     upstream: UpstreamId
+    is_repeated: bool = True
 
 
 Effect = Send | Broadcast | Assign | Refuse | Probe
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/granting.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/granting.py
@@ -129,6 +129,7 @@
         terms: str,
     ) -> None:
         self._ledger.grant(member_id, upstream_id)
+        self._selector.take_request(now, upstream_id)
         self._selector.update(now, upstream_id)
         grants.setdefault((member_id, terms), Counter())[upstream_id] += 1
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/holder.py
@@ -26,6 +26,7 @@
 from banyanshelf_core.permits.return_marks import ReturnMarks
 from banyanshelf_core.permits.service_reserve import service_reserve_s
 from banyanshelf_core.permits.settings import HolderSettings
+from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 MIN_RETRY_AFTER_S = 0.1
@@ -218,6 +219,16 @@
             effects += self._assign_local(now)
         return effects
 
+    def note_request_limit(self, upstream_id: UpstreamId, stated: StatedLimit) -> bool:
+        """Apply what an upstream states; return whether its limit has changed.
+
+        Idle permits of a limited upstream return to the coordinator.
+        """
+        is_changed = self.local.limits.note(upstream_id, stated)
+        if is_changed and stated.per_s is not None:
+            self._return_idle(upstream_id, self.counts.idle[upstream_id])
+        return is_changed
+
     def tick(self, now: float) -> Sequence[HolderEffect]:
         """Run timed work; to be called about every 25 ms."""
         effects: list[HolderEffect] = []
@@ -277,7 +288,7 @@
         self.queue.in_use_by_caller[call.caller_service] += 1
         self.counts.start_call(now, None if is_local else upstream_id)
         if is_local:
-            self.local.start_call(upstream_id)
+            self.local.start_call(now, upstream_id)
         epoch_number = 0 if is_local else self.epoch.number
         return Assign(call.call_id, upstream_id, epoch_number, reason, candidates)
 
@@ -334,7 +345,10 @@
             upstream_id = each.upstream
             self._outbox.note_grant(each.count)
             for _ in range(each.count):
-                if not self.local.is_live(upstream_id):
+                is_outdated = terms == GrantTerms.REUSABLE and self._is_limited(
+                    upstream_id
+                )
+                if is_outdated or not self.local.is_live(upstream_id):
                     self._outbox.return_permit(upstream_id)
                     continue
                 call = self.queue.take(
@@ -372,8 +386,14 @@
             return True
         if self.is_draining or not self.local.is_live(upstream_id):
             return True
+        if self._is_limited(upstream_id):
+            return True
         return self._reach.have_permits_expired(now)
 
+    def _is_limited(self, upstream_id: UpstreamId) -> bool:
+        """Whether each request to an upstream must be granted by the coordinator."""
+        return self.local.limits.per_s(upstream_id) is not None
+
     def _may_reuse(self, now: float) -> bool:
         if not self.is_contended or not self._reach.is_reachable:
             return True
@@ -403,7 +423,11 @@
         the fair share.
         """
         ahead = self.queue.count_ahead(depth)
+        limited_wait_s = self.local.limited_wait_s(
+            ahead, is_contended=self.is_contended
+        )
         if not ahead:
-            return 0.0
+            return limited_wait_s
         concurrency = max(1.0, self.counts.calls, self.local.fair_share_of_slots())
-        return ahead * self.local.mean_service_s() / concurrency
+        wait_s = ahead * self.local.mean_service_s() / concurrency
+        return max(wait_s, limited_wait_s)
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/local_choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/local_choice.py
@@ -8,7 +8,9 @@
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import MemberId, Upstream, UpstreamId, UpstreamState
-from banyanshelf_core.permits.local_share import local_share
+from banyanshelf_core.permits.limit_gate import LimitGate
+from banyanshelf_core.permits.local_share import local_limit_share, local_share
+from banyanshelf_core.request_rate import MAX_WAIT_S
 from banyanshelf_core.upstream_health import UpstreamHealth
 
 REFRESH_INTERVAL_S = 0.25
@@ -34,6 +36,7 @@
         self._load_by_id: dict[UpstreamId, float] = {}
         self._uncounted: Counter[UpstreamId] = Counter()
         self._counted: Counter[UpstreamId] = Counter()
+        self.limits = LimitGate(self._share_of_limit)
 
     def set_members(self, members: Iterable[MemberId]) -> None:
         """Replace the live members."""
@@ -51,6 +54,7 @@
             if upstream.state == UpstreamState.LIVE
         )
         self._shares = None
+        self.limits.retain(upstreams_by_id)
         self.health.set_upstreams(now, upstreams_by_id)
 
     def is_live(self, upstream_id: UpstreamId) -> bool:
@@ -129,6 +133,7 @@
             if not self._uncounted[each]
             and not self._counted[each]
             and self.health.usable_slots(now, each)
+            and self.limits.is_open(now, each)
         ]
         records = self.health.records_by_id
         return sorted(
@@ -141,9 +146,34 @@
             ),
         )
 
-    def start_call(self, upstream_id: UpstreamId) -> None:
+    def start_call(self, now: float, upstream_id: UpstreamId) -> None:
         """Record a call in the local share."""
         self._uncounted[upstream_id] += 1
+        self.limits.take(now, upstream_id)
+
+    def _share_of_limit(self, upstream_id: UpstreamId) -> float:
+        slots = self._upstreams_by_id[upstream_id].slots
+        return local_limit_share([self._member_id], self._members, upstream_id, slots)
+
+    def limited_wait_s(self, ahead: int, *, is_contended: bool) -> float:
+        """Return how long a call waits if every upstream states a limit, in seconds.
+
+        ``ahead`` calls of this gateway are served before it. While calls wait at other
+        gateways too, this one gets its fair share of all limits. Returns 0.0 if an
+        upstream states none.
+        """
+        per_s = [self.limits.per_s(each) for each in self._live]
+        limits = [each for each in per_s if each is not None]
+        if not limits or len(limits) < len(per_s):
+            return 0.0
+        total_per_s = sum(limits)
+        if not total_per_s:
+            return MAX_WAIT_S
+        if is_contended:
+            wait_s = (ahead + 1) * len(self._members) / total_per_s
+        else:
+            wait_s = ahead / total_per_s
+        return min(MAX_WAIT_S, wait_s)
 
     def end_call(self, upstream_id: UpstreamId) -> bool:
         """Record the end of such a call; returns whether no coordinator counts it."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/permits/slot_choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/permits/slot_choice.py
@@ -8,6 +8,7 @@
 
 from banyanshelf_core.messages import GrantTerms
 from banyanshelf_core.model import UpstreamId
+from banyanshelf_core.permits.limit_gate import LimitGate
 from banyanshelf_core.permits.random_set import RandomSet
 from banyanshelf_core.upstream_health import UpstreamHealth
 
@@ -21,7 +22,8 @@
     """The free slots of a service, classified by expected completion time.
 
     Upstreams up to twice the median service time are treated as equal, so that noise
-    in the averages has no influence. Slower upstreams are used last.
+    in the averages has no influence. Slower upstreams are used last. Upstreams that
+    state a request limit are used while it leaves a request, for one call per grant.
     """
 
     def __init__(
@@ -29,12 +31,15 @@
         rng: random.Random,
         health: UpstreamHealth,
         outstanding: Counter[UpstreamId],
+        limits: LimitGate,
     ) -> None:
         self._rng = rng
         self._health = health
         self._outstanding = outstanding
+        self._limits = limits
         self._fast = RandomSet()
         self._fast_by_zone: dict[str, RandomSet] = {}
+        self._limited: set[UpstreamId] = set()
         self._slow: set[UpstreamId] = set()
         self._last_trial_by_id: dict[UpstreamId, float] = {}
         self._usable_slots = 0
@@ -43,11 +48,12 @@
         """Reclassify all upstreams."""
         self._fast = RandomSet()
         self._fast_by_zone = {}
+        self._limited = set()
         self._slow = set()
         self._usable_slots = 0
         for upstream_id, record in self._health.records_by_id.items():
             self.update(now, upstream_id)
-            if not record.is_slow:
+            if not record.is_slow and self._limits.per_s(upstream_id) is None:
                 self._usable_slots += self._health.usable_slots(now, upstream_id)
 
     def update(self, now: float, upstream_id: UpstreamId) -> None:
@@ -57,21 +63,29 @@
             self._fast.discard(upstream_id)
             for each in self._fast_by_zone.values():
                 each.discard(upstream_id)
+            self._limited.discard(upstream_id)
             self._slow.discard(upstream_id)
             return
         limit = self._health.usable_slots(now, upstream_id)
-        is_free = self._outstanding[upstream_id] < limit
+        is_free = self._outstanding[upstream_id] < limit and self._limits.is_open(
+            now, upstream_id
+        )
+        is_limited = self._limits.per_s(upstream_id) is not None
         is_slow = record.is_slow or record.is_trial_only
         zone = record.upstream.zone
         in_zone = self._fast_by_zone.get(zone)
         if in_zone is None:
             in_zone = self._fast_by_zone[zone] = RandomSet()
-        if is_free and not is_slow:
+        if is_free and not (is_slow or is_limited):
             self._fast.add(upstream_id)
             in_zone.add(upstream_id)
         else:
             self._fast.discard(upstream_id)
             in_zone.discard(upstream_id)
+        if is_free and is_limited and not is_slow:
+            self._limited.add(upstream_id)
+        else:
+            self._limited.discard(upstream_id)
         if is_free and is_slow:
             self._slow.add(upstream_id)
         else:
@@ -95,6 +109,9 @@
         fast = self.pick_fast(zone, excluded)
         if fast is not None:
             return fast, REUSABLE
+        limited = self._pick_limited(zone, excluded)
+        if limited is not None:
+            return limited, SINGLE_USE
         slow = self._pick_slow(excluded, queue_length)
         return None if slow is None else (slow, SINGLE_USE)
 
@@ -107,6 +124,15 @@
                 return picked
         return self._fast.choose(self._rng, excluded)
 
+    def update_limited(self, now: float) -> None:
+        """Reclassify the upstreams that state a limit, as time frees requests."""
+        for upstream_id in self._limits.limited():
+            self.update(now, upstream_id)
+
+    def take_request(self, now: float, upstream_id: UpstreamId) -> None:
+        """Take a granted call's request from the limit of its upstream, if any."""
+        self._limits.take(now, upstream_id)
+
     def has_reserve(self, share: float) -> bool:
         """Whether more than a share of all upstreams are fast and have a free slot."""
         return len(self._fast) > share * len(self._health.records_by_id)
@@ -119,6 +145,14 @@
                 return upstream_id
         return None
 
+    def _pick_limited(
+        self, zone: str, excluded: Collection[UpstreamId]
+    ) -> UpstreamId | None:
+        records = self._health.records_by_id
+        candidates = sorted(self._limited.difference(excluded))
+        near = [each for each in candidates if records[each].upstream.zone == zone]
+        return self._rng.choice(near or candidates) if candidates else None
+
     def _pick_slow(
         self, excluded: Collection[UpstreamId], queue_length: int
     ) -> UpstreamId | None:
--- a/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
@@ -35,6 +35,16 @@
 NO_STATEMENT = StatedLimit(None, -math.inf)
 
 
+def describe_limit(upstream_id: str, stated: StatedLimit) -> str:
+    """Return the log line about a changed limit."""
+    if stated.per_s is None:
+        return f"upstream {upstream_id} states no request limit any more"
+    return (
+        f"upstream {upstream_id} takes {stated.per_s:g} requests a second from all "
+        "gateways"
+    )
+
+
 def parse_request_limit(value: bytes) -> float:
     """Return a limit in requests per second; raises :class:`RequestLimitError`.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -12,7 +12,7 @@
 
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RequestMatcher
-from banyanshelf_core.model import Member, UpstreamState
+from banyanshelf_core.model import Member, Upstream, UpstreamState
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -178,8 +178,10 @@
     def _log_failure(self, failure: Any) -> None:
         self.log.event("stop step failed", error=failure.getErrorMessage())
 
-    def _send_probe(self, upstream: Any) -> defer.Deferred[bool]:
-        return self.handler.probe(upstream)
+    def _send_probe(
+        self, upstream: Upstream, *, is_repeated: bool = True
+    ) -> defer.Deferred[bool]:
+        return self.handler.probe(upstream, is_repeated=is_repeated)
 
     def _operator_api(self) -> OperatorApi:
         return OperatorApi(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/effect_executor.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/effect_executor.py
@@ -21,7 +21,12 @@
 from banyanshelf_core.permits.holder import PermitHolder
 from banyanshelf_daemon.baseline_admission import BaselineAdmission
 from banyanshelf_daemon.coordinator_roles import CoordinatorRoles
-from banyanshelf_daemon.interfaces import NotAdmittedError, PeerNetwork, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    PeerNetwork,
+    Permit,
+    ProbeSender,
+)
 from banyanshelf_daemon.loopback_queue import LoopbackQueue
 
 
@@ -52,7 +57,7 @@
         member_id: MemberId,
         network: PeerNetwork,
         rng: random.Random,
-        send_probe: Callable[[Upstream], Deferred[bool]],
+        send_probe: ProbeSender,
         handle_loopback: Callable[[PeerMessage], None],
     ) -> None:
         self._reactor = reactor
@@ -104,7 +109,7 @@
                 case Broadcast():
                     self._network.broadcast(effect.message)
                 case Probe():
-                    self._probe(service_name, effect.upstream)
+                    self._probe(service_name, effect)
         holder = self.holders_by_service.get(service_name)
         if holder is not None and holder.wants_flush:
             self.schedule_flush()
@@ -142,7 +147,8 @@
             )
         )
 
-    def _probe(self, service_name: ServiceName, upstream_id: UpstreamId) -> None:
+    def _probe(self, service_name: ServiceName, effect: Probe) -> None:
+        upstream_id = effect.upstream
         upstream = self.upstreams_by_service[service_name][upstream_id]
 
         def on_result(succeeded: object) -> None:
@@ -154,4 +160,5 @@
                 )
                 self.execute(service_name, effects)
 
-        self._send_probe(upstream).addBoth(on_result)
+        probe = self._send_probe(upstream, is_repeated=effect.is_repeated)
+        probe.addBoth(on_result)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+from typing import Any
 
 from logbook import Logger
 from twisted.internet.defer import Deferred
@@ -13,6 +13,7 @@
 from banyanshelf_core.placement.choice import PlacementSelector, due_probes
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_daemon.gossip_link import GossipLink
+from banyanshelf_daemon.interfaces import ProbeSender
 from banyanshelf_daemon.load_sharing import LoadSharing
 from banyanshelf_daemon.request_limiter import RequestLimiter
 from banyanshelf_daemon.service_loads import ServiceLoads
@@ -24,18 +25,6 @@
 log = Logger("questions")
 
 
-class ProbeSender(Protocol):
-    """Sends one health probe."""
-
-    def __call__(
-        self, upstream: Upstream, *, is_repeated: bool = True
-    ) -> Deferred[bool]:
-        """Return whether the upstream is healthy.
-
-        With ``is_repeated``, the probe may be sent once more on another connection.
-        """
-
-
 class HealthProber:
     """Probes upstreams on behalf of the zone; each upstream has one probing gateway.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
@@ -112,6 +112,18 @@
         """Release a permit with the result of its attempt."""
 
 
+class ProbeSender(Protocol):
+    """Sends one health probe."""
+
+    def __call__(
+        self, upstream: Upstream, *, is_repeated: bool = True
+    ) -> Deferred[bool]:
+        """Return whether the upstream is healthy.
+
+        With ``is_repeated``, the probe may be sent once more on another connection.
+        """
+
+
 class ClaimService(Protocol):
     """Claims idempotency keys across all gateways."""
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
@@ -12,7 +12,7 @@
 from banyanshelf_core.model import LoadReport, ServiceName, UpstreamId
 from banyanshelf_core.placement.choice import PlacementSelector
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
-from banyanshelf_core.request_limit import StatedLimit
+from banyanshelf_core.request_limit import StatedLimit, describe_limit
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ConfigurationSource,
@@ -102,14 +102,7 @@
         selector = self.selector_for(upstream_id)
         if selector is None or not selector.note_request_limit(upstream_id, stated):
             return False
-        if stated.per_s is None:
-            log.info("upstream {} states no request limit any more", upstream_id)
-        else:
-            log.info(
-                "upstream {} takes {:g} requests a second from all gateways",
-                upstream_id,
-                stated.per_s,
-            )
+        log.info(describe_limit(upstream_id, stated))
         return True
 
     def snapshot(self) -> dict[str, Any]:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -37,12 +37,13 @@
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.call_placer import CallPlacer, Reservation
 from banyanshelf_daemon.gossip_link import GossipLink
-from banyanshelf_daemon.health_questions import HealthProber, ProbeSender
+from banyanshelf_daemon.health_questions import HealthProber
 from banyanshelf_daemon.interfaces import (
     ConfigurationSource,
     NotAdmittedError,
     Permit,
     PermitRequest,
+    ProbeSender,
     UpstreamDirectory,
 )
 from banyanshelf_daemon.load_sharing import LoadSharing
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/backend.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/backend.py
@@ -37,7 +37,8 @@
 
     ``report`` is ``true``, ``zero``, ``full`` or ``frozen`` and selects the load that
     answers report. ``straggle_factor`` multiplies service times. A ``queue_limit`` of
-    -1 disables load shedding.
+    -1 disables load shedding. Answers state a ``request_limit``, in requests per second
+    from all gateways, unless it is negative; the server does not enforce it.
     """
 
     draining: bool = False
@@ -47,6 +48,7 @@
     queue_limit: int = -1
     answer_bytes: int = 512
     probe_ms: float = 6.0
+    request_limit: float = -1.0
 
 
 class Options(msgspec.Struct, frozen=True, kw_only=True):
@@ -107,12 +109,17 @@
         report = f"in_flight={in_flight}, slots={self.options.slots}"
         token = exchange.headers.get("echo-token", "")
         headers = [("Echo-Token", token), ("Upstream-Load", report)]
+        if self.behavior.request_limit >= 0:
+            limit = f"{self.behavior.request_limit:g}"
+            headers.append(("Upstream-Request-Limit", limit))
         if self.behavior.draining or self.is_stopping:
             headers.append(("Upstream-State", "draining"))
         return headers
 
     def handle(self, exchange: Exchange) -> None:
         """Queue, shed or fail one request."""
+        if self.behavior.request_limit >= 0:
+            self.usage.limited_at.append(reactor.seconds())
         if self._must_shed():
             self._shed(exchange)
         elif exchange.path == "/healthz":
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/backend_work.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/backend_work.py
@@ -57,7 +57,11 @@
 
 @dataclass
 class Usage:
-    """Slot usage counters; the JSON names of ``/stats``. Times are in seconds."""
+    """Slot usage counters; the JSON names of ``/stats``. Times are in seconds.
+
+    ``limited_at`` holds the arrivals while a request limit was stated, health probes
+    included.
+    """
 
     peak_concurrency: int = 0
     peak_queue: int = 0
@@ -71,6 +75,7 @@
     cancelled: int = 0
     runs_by_key: dict[str, int] = field(default_factory=dict)
     runs_by_token: dict[str, int] = field(default_factory=dict)
+    limited_at: list[float] = field(default_factory=list)
 
 
 class SlotQueue:
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
@@ -52,6 +52,9 @@
         self.instance_id = instance_id
         self.latency_s = 0.01
         self.failing_share = 0.0
+        # Requests per second that answers state, if any; it is not enforced.
+        self.request_limit: float | None = None
+        self.limited_at: list[float] = []
         self.running = 0
         self.waiting: list[Exchange] = []
         self.runs_by_attempt: defaultdict[str, int] = defaultdict(int)
@@ -61,6 +64,8 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a health check, or run, queue or refuse a request."""
+        if self.request_limit is not None:
+            self.limited_at.append(time.monotonic())
         if exchange.path == "/health":
             exchange.answer(200, headers=self._headers(exchange))
         elif exchange.headers.get(EXPECTED_INSTANCE_HEADER) != self.instance_id:
@@ -96,11 +101,14 @@
 
     def _headers(self, exchange: Exchange) -> list[tuple[str, str]]:
         load = f"{self.running},{len(self.waiting)},{SLOT_COUNT},100"
-        return [
+        headers = [
             ("X-Banyanshelf-Attempt-Id", exchange.headers.get(ATTEMPT_ID_HEADER, "")),
             ("X-Banyanshelf-Instance-Id", self.instance_id),
             ("X-Banyanshelf-Instance-Load", load),
         ]
+        if self.request_limit is not None:
+            headers.append(("Server-Limit", f"{self.request_limit:g}"))
+        return headers
 
 
 def serve(
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -183,6 +183,12 @@
   2: optional list<string> roles
 }
 
+struct RequestLimitNotice {
+  1: optional string upstream
+  2: optional i64 micro_per_s
+  3: optional i64 age_us
+}
+
 // Exactly one field is set.
 struct Envelope {
   1: optional Hello hello
@@ -206,4 +212,5 @@
   19: optional ClaimComplete claim_complete
   20: optional ClaimCompleteAck claim_complete_ack
   21: optional Leaving leaving
+  22: optional RequestLimitNotice request_limit_notice
 }
