Test the request limits with restarts, cuts and up to 312 gateways

The scenarios that came with the fix had 14 and 6 gateways and no fault.

Change: scenarios for each of these, with an upper bound (the operators' rule over all that reaches an upstream) and a lower one (what the limits leave is used), for limits of 0, 0.5 and 2 a second that are lifted, and for upstreams without a limit in other zones. Refused calls must be refused at once. The use of limits counts from 3 s after they were stated, since callers get more before gateways know them.

--- a/features/steps/simulated_gossip.py
+++ b/features/steps/simulated_gossip.py
@@ -2,7 +2,10 @@
 
 import random
 from collections import Counter
+from heapq import heappop, heappush
+from itertools import count as numbers
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.task import Clock
 
 from banyanshelf_core.model import Member
@@ -87,7 +90,44 @@
 
 
 class _Reactor(Clock):
-    """The clock of all gateways; datagrams are delivered by the zone."""
+    """The clock of all gateways; datagrams are delivered by the zone.
+
+    Timers are in a heap, as sorting the timers of some hundred gateways takes long.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._heap = []
+        self._numbers = numbers()
+
+    def callLater(self, delay, function, *args, **kwargs):  # noqa: N802
+        due = self.seconds() + delay
+        call = DelayedCall(
+            due,
+            function,
+            args,
+            kwargs,
+            lambda call: None,
+            self._push,
+            self.seconds,
+        )
+        self._push(call)
+        return call
+
+    def _push(self, call):
+        heappush(self._heap, (call.getTime(), next(self._numbers), call))
+
+    def advance(self, amount):
+        self.rightNow += amount
+        while self._heap and self._heap[0][0] <= self.rightNow:
+            due, _, call = heappop(self._heap)
+            if not call.active():
+                continue
+            if call.getTime() > due:
+                self._push(call)
+                continue
+            call.called = 1
+            call.func(*call.args, **call.kw)
 
     def listenUDP(self, _port, _protocol, interface):  # noqa: N802
         return _Port()
@@ -96,7 +136,7 @@
 class LoadZone:
     """Simulates calls of gateways ``g1``, ``g2``... to upstreams ``u1``, ``u2``..."""
 
-    def __init__(self, count, upstreams, rng, zone_of=lambda number: "a"):
+    def __init__(self, gateways, upstreams, rng, zone_of=lambda number: "a"):
         self.rng = rng
         self._zone_of = zone_of
         self.reactor = _Reactor()
@@ -109,7 +149,7 @@
         self._incarnation_by_name = Counter()
         self.links, self.sharings, self.sinks = {}, {}, {}
         self._arrivals = 0.0
-        for number in range(count):
+        for number in range(gateways):
             self._add(f"g{number + 1}", 1.0)
 
     def _add(self, name, capacity):
--- a/features/steps/simulated_limits.py
+++ b/features/steps/simulated_limits.py
@@ -3,7 +3,7 @@
 import random
 from collections import defaultdict
 
-from limit_terms import excess_of
+from limit_terms import STABLE_S, excess_of
 from simulated_admissions import SERVICE, STEP_S, AdmissionZone
 from twisted.internet.defer import succeed
 
@@ -28,7 +28,7 @@
         self.called = defaultdict(list)
         self.answered = self.refused = 0
         self.refusal_waits = []
-        self.probing_works = True
+        self.counted_from = 0.0
         super().__init__(
             gateways,
             upstreams,
@@ -104,6 +104,31 @@
         call.deferred.addBoth(started)
         return call
 
+    def add(self, name):
+        """Start a gateway, which knows nobody yet."""
+        self._add(name, 1.0)
+        self.learn_work([name])
+
+    def start_counting(self):
+        """Count answers, refusals and the use of limits from now on."""
+        self.answered = self.refused = 0
+        self.refusal_waits = []
+        self.counted_from = self.reactor.seconds()
+
+    def use_of_limits(self):
+        """Return the requests that limited upstreams got, and how many they take.
+
+        Requests of the time in which gateways learn of the limits do not count.
+        """
+        since = max(self.counted_from, max(self.limited_at.values()) + STABLE_S)
+        seconds = self.reactor.seconds() - since
+        got = sum(
+            each >= since
+            for upstream_id in self.limit_by_upstream
+            for each in self.received[upstream_id]
+        )
+        return got, sum(self.limit_by_upstream.values()) * seconds
+
     def run(self, seconds, calls_per_s):
         """Spread calls over the gateways."""
         for _ in range(round(seconds / STEP_S)):
@@ -113,8 +138,9 @@
                 self.call(self.rng.choice(sorted(self.sharings)))
             self.reactor.advance(STEP_S)
 
-    def learn_work(self):
-        for admission in self.sharings.values():
+    def learn_work(self, names=()):
+        for name in names or self.sharings:
+            admission = self.sharings[name]
             selector = admission.loads.selector_by_service[SERVICE]
             for _ in range(30):
                 selector.estimate.add_sample("/", WORK_S, nearly_full=False)
