Close connections after refusals that do not name their request

What callers saw: 503 "not run" for a request that its upstream was running, or the request ran at a second upstream too.

Cause: an answer that names no request is taken for the answer to the one in progress. On the product's interface naming is optional; on the platform, refusals of health probes name none. A refusal is worse than other copies, since callers and gateways repeat the request after it.

Change: a connection is not used again after a statement "not run" that does not name its request. Requests without an attempt id are checked by the same rules as the others.

Why it works: a copy arrives on the connection of its original, which carries no later request.

--- a/features/daemon/upstream_answers.feature
+++ b/features/daemon/upstream_answers.feature
@@ -44,6 +44,18 @@
       | A copy after one on an idle connection     | wait 0.1 >> more HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none >> wait 0.1 >> GET /b >> 200 two >> wait 0.1 >> GET /c >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo >> 200 three | bodies one two three |
       | A copy after one with the answer           | GET /b >> upstream HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwoHTTP/1.1 200 OK >> wait 0.1 >> GET /c >> 200 new >> wait 0.1 >> GET /d >> late HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew >> 200 last | bodies one two new last |
 
+  # Guards against "not run" for a request that its upstream is running.
+  Scenario Outline: A copy of <refusal> is not taken for that of a later request
+    Given a data path with upstream_count=1
+    When these data path events happen: "<request> >> <answer> >> wait 0.1 >> POST /b y >> <copy> >> <last>"
+    Then the data path shows "answer 200 two; reused <reused>"
+
+    Examples:
+      | refusal                           | request   | answer        | copy | last | reused |
+      | a refusal                         | POST /a x | not_run       | late HTTP/1.1 503 No\r\nUpstream-Outcome: not_run\r\nContent-Length: 0\r\n\r\n | 200 two | False |
+      | a probe's refusal                 | probe     | not_run       | late HTTP/1.1 503 No\r\nUpstream-Outcome: not_run\r\nContent-Length: 0\r\n\r\n | 200 two | False |
+      | a refusal that names its request  | POST /a x | named_not_run | named_not_run_copy | named two | True |
+
   # Guards against a handshake for each call after one that was long ago.
   Scenario: Connections of an upstream that sent a copy are reused a minute later
     Given a data path with upstream_count=1
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -101,6 +101,16 @@
     When the health probe of an upstream is answered with a call's 200 and its own 503
     Then the health probe has failed
 
+  # Guards against 503 or a second upstream for a request that its upstream is running. The
+  # refusal of a probe has no attempt id.
+  Scenario: A copy of a probe's refusal is not taken for that of a call
+    Given a data path of the platform with one upstream
+    When the health probe of an upstream is rejected
+    And a client sends an unsafe request with 400 ms left
+    And the refusal of the health probe arrives once more
+    And the upstream answers "200 mine"
+    Then the client gets 200 with body "mine"
+
   # Guards against a split whose sequence starts anew at the same place with each version:
   # while versions follow each other quickly, one service got all of a gateway's requests.
   Scenario: A split follows its weights while versions follow each other quickly
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -17,6 +17,7 @@
 from banyanshelf_core.retry import MIN_HEDGE_SAMPLES
 from banyanshelf_daemon.interfaces import NotAdmittedError
 
+NAMED_NOT_RUN = "503 No\\r\\nUpstream-Outcome: not_run"
 FINAL_NOT_RUN = "Upstream-Outcome: not_run\\r\\nContent-Length: 0\\r\\n\\r\\n"
 
 
@@ -107,21 +108,37 @@
 
 def on_named_copy(context):
     """Deliver a copy of the answer to the previous request, with that one's id."""
+    deliver_copy(context, "200 OK", "one")
+
+
+def on_named_not_run(context):
+    """Refuse the waiting request with its id."""
+    request = context.path.waiting()[0].value()
+    on_upstream(context, answer_with_id(request, "", NAMED_NOT_RUN))
+
+
+def on_named_not_run_copy(context):
+    """Deliver a copy of the refusal of the previous request, with that one's id."""
+    deliver_copy(context, NAMED_NOT_RUN, "")
+
+
+def deliver_copy(context, status, body):
     transport = context.path.waiting()[0]
     requests = transport.history
     assert len(requests) > 1, "the connection is not in use again"
-    copy = answer_with_id(requests[-2], "one")
+    copy = answer_with_id(requests[-2], body, status)
     context.path.send(transport, unescape(copy))
 
 
-def answer_with_id(request, body):
+def answer_with_id(request, body, status="200 OK"):
+    """Return an answer; ``status`` may be followed by further header lines."""
     [request_id] = [
         line.partition(b": ")[2].decode()
         for line in request.split(b"\r\n")
         if line.startswith(b"Banyanshelf-Request-Id")
     ]
     return (
-        f"HTTP/1.1 200 OK\\r\\nUpstream-Request-Id: {request_id}\\r\\n"
+        f"HTTP/1.1 {status}\\r\\nUpstream-Request-Id: {request_id}\\r\\n"
         f"Content-Length: {len(body)}\\r\\n\\r\\n{body}"
     )
 
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -41,6 +41,9 @@
 """
 SIGNATURE = "X-Banyanshelf-Response-Signature: abc\r\n"
 ATTEMPT_ID = "X-Banyanshelf-Attempt-Id"
+REJECTION = (
+    b"HTTP/1.1 %d No\r\nX-Banyanshelf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 @given("a data path of the platform")
@@ -143,16 +146,34 @@
     context.path.settle()
 
 
-@when("the health probe of an upstream is answered with a call's 200 and its own 503")
-def step_probe(context):
+def send_probe(context):
     context.probe = []
     result = context.path.handler.probe(context.path.upstreams[0])
     result.addCallback(context.probe.append)
     context.path.settle()
-    [transport] = context.path.waiting()
+    [context.probe_transport] = context.path.waiting()
+
+
+@when("the health probe of an upstream is answered with a call's 200 and its own 503")
+def step_probe(context):
+    send_probe(context)
     own = b"HTTP/1.1 503 No\r\nX-Banyanshelf-Instance-Id: desk-1\r\n"
     late = answer(200, "late", "earlier")
-    context.path.answer(transport, late + own + b"Content-Length: 0\r\n\r\n")
+    context.path.answer(
+        context.probe_transport, late + own + b"Content-Length: 0\r\n\r\n"
+    )
+
+
+@when("the health probe of an upstream is rejected")
+def step_probe_rejected(context):
+    send_probe(context)
+    context.path.answer(context.probe_transport, REJECTION % 503)
+    context.path.settle(0.1)
+
+
+@when("the refusal of the health probe arrives once more")
+def step_probe_copy(context):
+    context.path.send(context.probe_transport, REJECTION % 503)
 
 
 @then("the health probe has failed")
@@ -234,11 +255,7 @@
 
 @when("the upstream rejects it with {status:d}")
 def step_reject(context, status):
-    deliver(
-        context,
-        f"HTTP/1.1 {status} No\r\nX-Banyanshelf-Not-Executed: 1\r\n"
-        "Content-Length: 0\r\n\r\n".encode(),
-    )
+    deliver(context, REJECTION % status)
 
 
 @when("the answer is expected late")
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
@@ -83,7 +83,7 @@
         data: bytes,
         *,
         is_head: bool,
-        rules: AnswerRules | None = None,
+        rules: AnswerRules,
     ) -> None:
         """Send the serialized request once a connection is available."""
         connection = self._pool.take_idle_connection()
@@ -177,7 +177,7 @@
         connection: UpstreamConnection,
         data: bytes,
         is_head: bool,
-        rules: AnswerRules | None,
+        rules: AnswerRules,
     ) -> None:
         self._waiter = None
         self._connection = connection
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -23,6 +23,7 @@
 )
 from banyanshelf_daemon.problem import problem_answer
 
+_REQUEST_ID = b"upstream-request-id"
 _LOAD_REPORT = re.compile(rb"\s*in_flight=(\d{1,6})\s*,\s*slots=(\d{1,6})\s*")
 
 
@@ -83,8 +84,8 @@
     def caller_fields(self, request_id: str) -> list[Header]:
         """Return the headers that the gateway adds to an upstream's answer."""
 
-    def answer_rules(self, request: Request, request_id: str) -> AnswerRules | None:
-        """Return the rules that match an answer to the request, if there are any."""
+    def answer_rules(self, request: Request, request_id: str) -> AnswerRules:
+        """Return the rules that match an answer to the request."""
 
     def probe_rules(self) -> AnswerRules:
         """Return the rules that tell a probe's answer from those to calls."""
@@ -126,7 +127,7 @@
             b"upstream-load",
             b"upstream-state",
             b"upstream-outcome",
-            b"upstream-request-id",
+            _REQUEST_ID,
             b"upstream-request-limit",
         }
     )
@@ -166,13 +167,13 @@
         """Return the header with the request id."""
         return [header("Banyanshelf-Request-Id", request_id)]
 
-    def answer_rules(self, request: Request, request_id: str) -> AnswerRules | None:
+    def answer_rules(self, request: Request, request_id: str) -> AnswerRules:
         """Skip answers that name another request; naming one is optional."""
-        return AnswerRules(b"upstream-request-id", request_id.encode())
+        return AnswerRules(_REQUEST_ID, request_id.encode(), self.says_not_run)
 
     def probe_rules(self) -> AnswerRules:
         """Skip answers that name a request, as a probe has no id."""
-        return AnswerRules(b"upstream-request-id", b"")
+        return AnswerRules(_REQUEST_ID, b"", self.says_not_run)
 
     def falsely_promises_not_run(self, answer: Answer) -> bool:
         """Return False, as only ``Upstream-Outcome`` states that a call has not run."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -71,13 +71,25 @@
     ``proof_field`` does not come from an upstream; an empty ``proof_field`` checks
     nothing. Field names are in lower case. With ``may_end_with_connection``, an answer
     without a length or chunks ends when the upstream closes the connection.
+    ``says_not_run`` tells whether an answer states that the request has not run.
     """
 
     request_field: bytes
     request_id: bytes
+    says_not_run: Callable[[AnswerHead], bool]
     proof_field: bytes = b""
     may_end_with_connection: bool = False
 
+    def names_request(self, headers: list[Header]) -> bool:
+        """Whether an answer names the request that it belongs to."""
+        value = header_value(headers, self.request_field)
+        return bool(value) and value == self.request_id
+
+    def names_other_request(self, headers: list[Header]) -> bool:
+        """Whether an answer names another request."""
+        value = header_value(headers, self.request_field)
+        return value is not None and value != self.request_id
+
 
 class Answer(NamedTuple):
     """A complete answer."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -69,7 +69,9 @@
     An answer is complete only when its announced length or its last chunk has arrived.
     An answer without either cannot be distinguished from a truncated one and is
     refused, unless the rules let it end with the connection. An answer that names
-    another request is skipped, and the connection is not reused.
+    another request is skipped, and the connection is not reused. Neither is it after a
+    statement that a request has not run, if that does not name the request: a copy of
+    it would state the same of the next request.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -274,11 +276,9 @@
                 self._error = "the answer's chunk sizes or trailers are too long"
 
     def _names_other_request(self) -> bool:
-        rules = self._rules
-        if rules is None:
-            return False
-        value = header_value(self._headers, rules.request_field)
-        return value is not None and value != rules.request_id
+        return self._rules is not None and self._rules.names_other_request(
+            self._headers
+        )
 
     def _check_origin(self, status: int) -> None:
         rules = self._rules
@@ -287,10 +287,19 @@
         if header_value(self._headers, rules.proof_field) is None:
             raise ValueError("the answer has no proof of its origin")
 
+    def _has_unnamed_refusal(self) -> bool:
+        """Whether a copy of the answer would say "not run" of any request."""
+        head, rules = self._head, self._rules
+        if head is None or rules is None or rules.names_request(head.headers):
+            return False
+        return rules.says_not_run(head)
+
     def _finish(self, receiver: AnswerReceiver) -> None:
         self._receiver = None
         self.answer_count += 1
-        reusable = self._keeps_alive and not self._has_surplus_bytes
+        reusable = self._keeps_alive and not (
+            self._has_surplus_bytes or self._has_unnamed_refusal()
+        )
         if self._has_surplus_bytes:
             self._owner.surplus_received()
         if reusable and not self._is_lost:
