Test upstreams that close within the head of their answer

Reported by other operators: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Looked for here: seven heads in the product's dialect and two in the platform's, one of them without a length, cut after each of their bytes and closed in order. No caller gets an answer of the upstream; unsafe calls get 502, and safe ones a retry. The fault is not found, so no code changes.

--- a/features/daemon/upstream_answers.feature
+++ b/features/daemon/upstream_answers.feature
@@ -29,6 +29,21 @@
       | another protocol      | 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n                 |
       | a folded header line  | 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n                     |
 
+  # Guards against an empty 200 in place of an answer that stopped in its head.
+  Scenario Outline: An upstream that closes within the head of <answer> gives <result>
+    When an upstream answers <method> with each part of the head "<head>" and closes
+    Then each caller is answered "<result>"
+
+    Examples:
+      | answer                   | method | result      | head                                                  |
+      | a length                 | POST   | 502 unknown | HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\n |
+      | no body                  | POST   | 502 unknown | HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n |
+      | chunks                   | POST   | 502 unknown | HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n |
+      | status 204               | POST   | 502 unknown | HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n            |
+      | an interim answer        | POST   | 502 unknown | HTTP/1.1 103 Early\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n |
+      | HTTP/1.0                 | POST   | 502 unknown | HTTP/1.0 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\n |
+      | a length, to a safe call | GET    | 503 unknown | HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\n |
+
   # Guards against a late second copy of an answer that the next caller gets. The copy
   # arrives after the next request has been written, so that it is not unsolicited.
   Scenario Outline: <copy> does not reach the next caller
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -34,6 +34,11 @@
       | a close | whole  | 200    |
       | a reset | cut    | 502    |
 
+  # Guards against an empty 200 in place of an answer that stopped in its head.
+  Scenario: An upstream that closes within the head of an answer gives 502
+    When a client sends an unsafe request and the upstream closes within the head
+    Then every client gets 502
+
   # Guards against a 503, which says that a request has not run, for one that may have run.
   Scenario: An unsafe request on a reset connection gets 502 and no retry
     When a client sends an unsafe request with 400 ms left
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -7,11 +7,13 @@
 """
 
 import json
+from collections import Counter
 from http import HTTPMethod
 
 from behave import given, then, when
 from datapath_support import TEXT, DataPath, new_text, split_answers
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 
 from banyanshelf_core.call_messages import ClaimStatus, CrashMark, StoredAnswer
 from banyanshelf_core.retry import MIN_HEDGE_SAMPLES
@@ -57,6 +59,26 @@
         assert found == wanted, f"{check}: found {found!r}"
 
 
+@when('an upstream answers {method} with each part of the head "{head}" and closes')
+def step_partial_head(context, method, head):
+    context.answers = []
+    whole = unescape(head)
+    for size in range(1, len(whole)):
+        step_data_path(context, "upstream_count=1")
+        on_request(context, method, "/a")
+        context.path.refused_hosts.add(context.path.upstream_transports[0].host)
+        [transport] = context.path.waiting()
+        context.path.answer(transport, whole[:size])
+        transport.cut(ConnectionDone())
+        context.path.settle()
+        context.answers.append(show_answer(context))
+
+
+@then('each caller is answered "{expected}"')
+def step_each_answered(context, expected):
+    assert set(context.answers) == {expected}, Counter(context.answers)
+
+
 def on_request(context, method, target, body=""):
     head = f"{method} {target} HTTP/1.1\r\nHost: desk.example\r\n".encode()
     if body or method not in ("GET", "HEAD"):
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -154,6 +154,25 @@
     [context.probe_transport] = context.path.waiting()
 
 
+@when("a client sends an unsafe request and the upstream closes within the head")
+def step_partial_heads(context):
+    """Send each part of a head, of an answer with a length and of one without."""
+    context.statuses = set()
+    unframed = f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: mine\r\n{SIGNATURE}\r\n".encode()
+    for head in (answer(200, ""), unframed):
+        for size in range(1, len(head)):
+            step_one_upstream(context)
+            step_request(context, "unsafe", 400)
+            context.path.answer(context.transport, head[:size])
+            context.transport.cut(ConnectionDone())
+            context.statuses |= {each[0] for each in answers(context)}
+
+
+@then("every client gets {status:d}")
+def step_every_status(context, status):
+    assert context.statuses == {status}, context.statuses
+
+
 @when("the health probe of an upstream is answered with a call's 200 and its own 503")
 def step_probe(context):
     send_probe(context)
