Refuse requests that arrive late in a planned stop and may outlast it

What callers saw: in a planned stop of one gateway, in calm, a request whose last bytes arrived late was passed on, and the connection ended without an answer when the gateway did; among them requests that may not be repeated (reported by other operators).

Cause: the stop waited for connections on which a part of a request had arrived, and then passed the request on with no regard to the time left. Calls that were left at the end were cut off.

Change: once its port has closed, a gateway takes a call only if the call's time limit ends before the stop does; others are refused as not run, to be tried at once elsewhere. At the end, calls that are left are answered "unknown" and requests that were not read "not run", instead of a closed connection. The drain timeout of the product's daemon counts from the close of its port.

The handler of the planned stop's steps gets calls that a shutdown can end; it keeps refusals instead of raising.

Why it works: what is passed on late ends before the gateway, and nothing ends without an answer.

--- a/features/daemon/call.feature
+++ b/features/daemon/call.feature
@@ -29,6 +29,24 @@
       | secret in the log                       | with Idempotency-Key: key-77\r\nAuthorization: Basic c2V0 >> POST /payments >> 200 ok | log_without key-77; log_without c2V0 |
       | decision that is not logged             | GET /a >> 200 ok >> POST /a >> 200 ok | decisions idle_permit=2 |
 
+  # Guards against calls that are sent to an upstream late in a planned stop and are then
+  # cut off without an answer.
+  Scenario Outline: A gateway that is shutting down <handling>
+    Given a data path with upstream_count=2
+    When these data path events happen: "<events>"
+    Then the data path shows "<checks>"
+
+    Examples:
+      | handling                                    | events | checks |
+      | refuses a call that may outlast it          | stop_within 1.9 >> POST /a x | answer 503 not_run; sent 0; header Retry-After=1 |
+      | refuses a claimed call that may outlast it  | stop_within 1.9 >> with Idempotency-Key: k >> POST /payments x | answer 503 not_run; sent 0; claims 0 |
+      | answers a call that ends before             | stop_within 2.1 >> POST /a x >> 200 ok | answer 200 ok |
+      | answers a call that is left                 | POST /a x >> wait 0.1 >> shutdown | answer 503 unknown; released cancelled; upstream_closed True |
+      | answers a claimed call that is left         | with Idempotency-Key: k >> POST /payments x >> shutdown | answer 503 unknown; recorded unknown |
+      | answers a call that waits for a permit      | hold_permits >> POST /a x >> shutdown | answer 503 not_run; sent 0 |
+      | answers a request that is left unread       | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 9\r\n\r\nhalf >> shutdown | answer 503 not_run; sent 0 |
+      | cuts a streamed answer that is left         | GET /a >> upstream HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n >> long 300000 >> shutdown | caller cut |
+
   # Guards against lost or falsified internal headers between services.
   Scenario Outline: No <failure> on the listener for backend servers
     Given a data path with trusted=True
--- a/features/daemon/planned_stop.feature
+++ b/features/daemon/planned_stop.feature
@@ -43,6 +43,20 @@
     And its request is answered with "Connection: close"
     And the stop has ended
 
+  # Guards against connections that are cut without an answer at the end of a stop.
+  Scenario Outline: The end of a stop answers <request>
+    Given calls that take 30 s
+    When a caller connects, and sends nothing
+    And the listener stops within 0.8 s
+    And the caller sends <request> after 0.1 s
+    Then its request is answered with 503 and "Connection: close"
+    And the stop has ended
+
+    Examples:
+      | request             |
+      | a request           |
+      | a part of a request |
+
   # Guards against callers that go on using a connection of a gateway that is stopping.
   Scenario: Answers during the notice period ask callers to close their connections
     When a caller connects, and gets one answer
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -56,6 +56,14 @@
     When the first gateway gets SIGTERM while callers connect one after another
     Then no request that ran was left without an answer
 
+  # Guards against a request that arrives late in a planned stop, is passed on and is cut off
+  # without an answer when the gateway ends.
+  Scenario: A planned stop refuses a request that arrives late and may outlast it
+    Given the platform's upstreams take 4 s
+    When the first gateway gets SIGTERM and the last byte of a request follows 3.5 s later
+    Then the request is refused as not run
+    And the first gateway ends with code 0
+
   # Guards against an unsafe request that runs again because its upstream was slow.
   Scenario: Unsafe requests run once
     Then 30 unsafe requests have run once each
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -240,6 +240,10 @@
 
 
 EVENTS = {
+    "stop_within": lambda c, seconds: c.path.handler.refuse_calls_beyond(
+        c.path.reactor.seconds() + float(seconds)
+    ),
+    "shutdown": lambda c: (c.path.factory.end_by_shutdown(), c.path.settle()),
     "silence": lambda c: c.path.waiting()[0].clear(),
     "more": lambda c, data: c.path.answer(c.transport, unescape(data)),
     "long": lambda c, count: c.path.answer(c.transport, b"y" * int(count)),
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -22,9 +22,11 @@
 
     def __init__(self, reactor):
         self.reactor, self.delay_s, self.calls = reactor, 0.0, 0
+        self.refusals = []
 
     def start(self, request, exchange, *, trust_internal_headers):
         self.calls += 1
+        exchange.call = _Call(exchange)
         answer = Answer(200, [], b"ok")
         if self.delay_s:
             self.reactor.callLater(self.delay_s, exchange.answer, answer)
@@ -32,11 +34,24 @@
             exchange.answer(answer)
 
     def refused(self, status, detail):
-        raise AssertionError(detail)
+        self.refusals.append((status, detail))
 
     add_gauge = Mock()
 
 
+class _Call:
+    """A call that can be ended by a shutdown only."""
+
+    def __init__(self, exchange):
+        self.exchange = exchange
+
+    def end_by_shutdown(self):
+        self.exchange.answer(Answer(503, [], b"unknown"))
+
+    def caller_disconnected(self):
+        return False
+
+
 class _Caller:
     """A blocking client socket; answers are read without waiting."""
 
@@ -82,7 +97,7 @@
     factory = context.factory = CallerServerFactory(context.handler, settings, False)
     port = reactor.listenTCP(0, factory, interface="127.0.0.1")
     context.port_number = port.getHost().port
-    context.listener = CallerListener(reactor, port, factory)
+    context.listener = CallerListener(reactor, port, factory, Mock())
     context.callers, context.stopped = [], []
     context.add_cleanup(close_all, context)
 
@@ -148,11 +163,30 @@
 
 @when("the listener stops")
 def step_stop(context):
+    step_stop_within(context, LIMIT_S)
+
+
+@when("the listener stops within {seconds:g} s")
+def step_stop_within(context, seconds):
     closed = context.listener.close()
-    closed.addCallback(lambda _: context.listener.drain())
+    closed.addCallback(lambda _: context.listener.drain(seconds))
     closed.addCallback(context.stopped.append)
 
 
+@when("the caller sends a part of a request after {seconds:g} s")
+def step_send_part(context, seconds):
+    step(context, seconds)
+    context.callers[0].socket.send(REQUEST[:-4])
+
+
+@then('its request is answered with {status:d} and "Connection: close"')
+def step_answered_status(context, status):
+    [caller] = context.callers
+    step_until(context, lambda: caller.is_closed)
+    assert caller.received.startswith(f"HTTP/1.1 {status}".encode()), caller.received
+    assert b"connection: close" in caller.received.lower(), caller.received
+
+
 @when("the caller sends a request after {seconds:g} s")
 def step_send(context, seconds):
     step(context, seconds)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -121,8 +121,15 @@
             self.services, request, exchange, route, active, context, request_id
         )
         exchange.call = call
+        if call.deadline > self.services.stops_at:
+            call.end_by_shutdown()
+            return
         call.run()
 
+    def refuse_calls_beyond(self, stops_at: float) -> None:
+        """Refuse calls whose time limit ends later, in a shutdown."""
+        self.services.stops_at = stops_at
+
     def refused(self, status: int, detail: str) -> None:
         """Count a request that was refused without a call."""
         self.services.metrics.count(f"request.refused.{status}")
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -76,6 +77,8 @@
         self._pool_rules = pool_rules or PoolRules()
         self.dialect = dialect or NativeDialect()
         self.now: Callable[[], float] = reactor.seconds
+        # Calls that may last longer are refused.
+        self.stops_at = math.inf
         self.permits = permits
         self.claims = claims
         self.log = log
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -48,6 +48,9 @@
     def caller_disconnected(self) -> bool:
         """Handle the loss of the caller's connection; return if the call continues."""
 
+    def end_by_shutdown(self) -> None:
+        """Answer the call with what is known, as the gateway is shutting down."""
+
 
 class Handler(Contract):
     """Handles requests; see ``CallHandler``."""
@@ -271,6 +274,14 @@
         if self._exchange is None and not self.is_receiving:
             self.close()
 
+    def end_by_shutdown(self) -> None:
+        """Answer the request that is being received or served."""
+        call = None if self._exchange is None else self._exchange.call
+        if call is not None:
+            call.end_by_shutdown()
+        elif self._exchange is None and self.is_receiving:
+            self._refuse(RequestError(503, "this gateway is shutting down"))
+
     def check_deadline(self, now: float) -> None:
         """Close a connection that has been idle, or slow to send or read, too long."""
         if now < self._deadline:
@@ -379,6 +390,11 @@
                     connection.close_if_idle()
         return self.drained
 
+    def end_by_shutdown(self) -> None:
+        """Answer all requests that are being received or served."""
+        for connection in list(self._connections):
+            connection.end_by_shutdown()
+
     def add(self, connection: CallerConnection) -> bool:
         """Add a connection; return False if there are too many."""
         if len(self._connections) >= self.settings.max_connections:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -125,13 +125,14 @@
         yield deferLater(self._reactor, self._settings.health_notice_s)
         for listener in self._caller_listeners:
             yield listener.close()
+        limit_s = self._settings.drain_timeout_s
         no_calls = defer.DeferredList(
-            [listener.drain() for listener in self._caller_listeners]
+            [listener.drain(limit_s) for listener in self._caller_listeners]
         )
         self.coordination.hand_over()
         yield self._with_drain_timeout(self.claims.hand_over())
         yield self._with_drain_timeout(self.cluster.leave())
-        yield self._with_drain_timeout(no_calls)
+        yield no_calls
         yield self._with_drain_timeout(self.claims.wait_until_drained())
         self.lifecycle.drained()
         yield self._close()
@@ -161,7 +162,11 @@
 
     def _listen_for_callers(self, address: str, factory: CallerServerFactory) -> None:
         port = self._open_port(address, factory)
-        self._caller_listeners.append(CallerListener(self._reactor, port, factory))
+        self._caller_listeners.append(
+            CallerListener(
+                self._reactor, port, factory, self.handler.refuse_calls_beyond
+            )
+        )
 
     def _open_port(self, address: str, factory: Any) -> Any:
         host, port = Address.from_string(address)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -16,6 +16,8 @@
 from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
 from banyanshelf_daemon.problem import PROXY_NAME
 
+# A caller that tries again is sent to another gateway by then.
+SHUTDOWN_RETRY_AFTER_S = 0.1
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
 # gateway, which has already used up its retries.
 RELAYED_PROXY_STATUS = f"{PROXY_NAME}; error=".encode()
@@ -284,15 +286,35 @@
 
     def expire(self) -> None:
         """Cancel the attempts and answer 504 at the deadline."""
-        self._may_have_run = self._may_have_run or self._is_sent()
+        if self._cancel_unanswered(
+            AnswerKind.TIMEOUT, "the deadline passed during a long answer"
+        ):
+            self.finish_problem(
+                504, "no answer within the time limit", "http_response_timeout", 1.0
+            )
+
+    def end_by_shutdown(self) -> None:
+        """Answer 503, with the known outcome, as this gateway is shutting down."""
+        if self.is_over:
+            return
+        if self._cancel_unanswered(
+            AnswerKind.CANCELLED, "the gateway shut down during a long answer"
+        ):
+            self.finish_problem(
+                503,
+                "this gateway is shutting down",
+                "destination_unavailable",
+                SHUTDOWN_RETRY_AFTER_S,
+            )
+
+    def _cancel_unanswered(self, kind: AnswerKind, detail: str) -> bool:
+        """Cancel the attempts; return False after cutting off a streamed answer."""
+        self._may_have_run = self._is_sent()
         is_streaming = any(attempt.is_streaming for attempt in self._attempts)
-        self._cancel_attempts(AnswerKind.TIMEOUT)
+        self._cancel_attempts(kind)
         if is_streaming:
-            self.stream_cut(UpstreamError("the deadline passed during a long answer"))
-            return
-        self.finish_problem(
-            504, "no answer within the time limit", "http_response_timeout", 1.0
-        )
+            self.stream_cut(UpstreamError(detail))
+        return not is_streaming
 
     def answer_expected_late(self) -> None:
         """Start a hedged attempt if it may be answered in time."""
