Read request limits with many decimals

Cause: the parser took nine decimals at most.

Change: up to 32 decimals. Malformed limits are refused as before. The scenarios of planned stops assert that no request was refused, which the handler of their steps raised before.

--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -208,6 +208,7 @@
 @then('all {count:d} requests are answered with "Connection: close"')
 def step_all_answered(context, count):
     assert len(context.callers) == count
+    assert not context.handler.refusals, context.handler.refusals
     step_until(context, lambda: all(each.is_closed for each in context.callers))
     for caller in context.callers:
         assert caller.received.startswith(b"HTTP/1.1 200"), caller.received
--- a/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
@@ -8,7 +8,7 @@
 
 from banyanshelf_core.errors import RequestLimitError
 
-_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,32})?")
 
 
 class StatedLimit(NamedTuple):
