Let upstreams of the soak state request limits

Change: "--limited N" lets the first upstreams, and what replaces them, state 3 requests a second and write down all arrivals, health checks included. A run fails if one gets more than one and a half times that in 4 s, and 5 more; requests of gateways that were disturbed count too.

--- a/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
@@ -1,7 +1,8 @@
 """Stand-in for an upstream of the operators' platform.
 
 It can run as a separate process that appends each run to a file, so that the runs of
-a killed process are known.
+a killed process are known. With a request limit, a file beside it gets the time of each
+arrival, health checks included, one to a line.
 
 Example:
     ``python -m banyanshelf_standins.platform_upstream --instance i-1
@@ -14,6 +15,7 @@
 import random
 import time
 from collections import defaultdict
+from contextlib import ExitStack
 from typing import IO
 
 import fire
@@ -54,7 +56,7 @@
         self.failing_share = 0.0
         # Requests per second that answers state, if any; it is not enforced.
         self.request_limit: float | None = None
-        self.limited_at: list[float] = []
+        self.arrivals: IO[bytes] | None = None
         self.running = 0
         self.waiting: list[Exchange] = []
         self.runs_by_attempt: defaultdict[str, int] = defaultdict(int)
@@ -64,8 +66,8 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a health check, or run, queue or refuse a request."""
-        if self.request_limit is not None:
-            self.limited_at.append(time.monotonic())
+        if self.arrivals is not None:
+            self.arrivals.write(b"%.6f\n" % time.monotonic())
         if exchange.path == "/health":
             exchange.answer(200, headers=self._headers(exchange))
         elif exchange.headers.get(EXPECTED_INSTANCE_HEADER) != self.instance_id:
@@ -117,11 +119,18 @@
     journal: str,
     latency_s: float = 0.01,
     failing_share: float = 0.0,
+    request_limit: float | None = None,
 ) -> None:
     """Run one upstream until the process is asked to terminate."""
-    # Unbuffered, so that the file is complete when the process is killed.
-    with open(journal, "ab", buffering=0) as file:
+    # Unbuffered, so that the files are complete when the process is killed.
+    with ExitStack() as stack:
+        file = stack.enter_context(open(journal, "ab", buffering=0))
         upstream = PlatformUpstream(instance, listen, file)
+        if request_limit is not None:
+            upstream.request_limit = request_limit
+            upstream.arrivals = stack.enter_context(
+                open(f"{journal}.arrivals", "ab", buffering=0)
+            )
         upstream.latency_s = latency_s
         upstream.failing_share = failing_share
         upstream.server.open()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 
 from banyanshelf_standins.platform_upstream import Run
 from soak.callers import Call
+from soak.site import LIMIT_PER_S
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Bounds of the platform's pages, in seconds.
@@ -15,6 +16,9 @@
 STABLE_S = 3.0
 # Share of the calls after the last fault that must be answered by an upstream.
 SERVED_SHARE_AFTER_FAULTS = 0.9
+# In any window, an upstream gets at most this multiple of what its limit allows, and
+# some requests more. Requests of gateways that were disturbed count too.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_EXTRA = 4.0, 1.5, 5
 Runs = dict[str, list[tuple[str, Run]]]
 
 
@@ -35,11 +39,13 @@
     ``disturbed_by_gateway`` holds the times in which a gateway, or what it depends on,
     was disturbed; ``stopped_by_gateway`` those of its planned stops.
     ``accepted_by_version`` and ``left_by_instance`` are the times at which the store
-    accepted a version or an instance's leaving.
+    accepted a version or an instance's leaving. ``arrivals_by_instance`` are the times
+    of all requests at instances that state a limit.
     """
 
     calls: list[Call]
     runs: Runs
+    arrivals_by_instance: dict[str, list[float]]
     disturbed_by_gateway: dict[int, list[Span]]
     stopped_by_gateway: dict[int, list[Span]]
     accepted_by_version: dict[int, float]
@@ -65,6 +71,7 @@
         *_old_configurations(record),
         *_late_work(record),
         *_cut_by_planned_stops(record),
+        *_beyond_limits(record),
         *_not_served_at_the_end(record),
     ]
 
@@ -147,6 +154,22 @@
     return found
 
 
+def _beyond_limits(record: Record) -> list[str]:
+    found = []
+    allowed = LIMIT_FACTOR * LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_EXTRA
+    for instance, times in record.arrivals_by_instance.items():
+        counted = [each for each in times if each >= times[0] + STABLE_S]
+        first = 0
+        for last, at in enumerate(counted):
+            while counted[first] <= at - LIMIT_WINDOW_S:
+                first += 1
+            if last - first + 1 > allowed:
+                count = last - first + 1
+                found.append(f"{instance} got {count} requests in 4 s until {at:.2f}")
+                break
+    return found
+
+
 def _not_served_at_the_end(record: Record) -> list[str]:
     late = [
         call
--- a/soak/run.py
+++ b/soak/run.py
@@ -58,12 +58,13 @@
     gateways: int,
     upstreams: int,
     check: Callable[[Record], list[str]] = faults_found,
+    limited: int = 0,
 ) -> list[str]:
     """Play one seed; returns the broken promises."""
     rng = random.Random(seed)
     schedule = draw_schedule(rng, seconds, gateways, upstreams)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    with running_site(folder, gateways, upstreams) as site:
+    with running_site(folder, gateways, upstreams, limited) as site:
         callers = Callers(site, seed, upstreams * CALLERS_PER_UPSTREAM)
         injector = Injector(site)
         callers.start()
@@ -78,6 +79,7 @@
         record = Record(
             callers.calls,
             site.runs(),
+            site.arrivals(),
             injector.disturbed_by_gateway,
             injector.stopped_by_gateway,
             injector.accepted_by_version,
@@ -112,9 +114,13 @@
     seeds: int = 1,
     gateways: int = 3,
     upstreams: int = 6,
+    limited: int = 0,
     regressions: bool = False,
 ) -> None:
-    """Play ``seeds`` seeds, fresh ones for some ``minutes``, or the regressions."""
+    """Play ``seeds`` seeds, fresh ones for some ``minutes``, or the regressions.
+
+    The first ``limited`` upstreams state a request limit.
+    """
     if regressions:
         failed = [case.seed for case in read_regressions() if play(*case)]
         print(f"regressions failed: {failed or 'none'}")
@@ -124,7 +130,7 @@
     broken = []
     number = 0
     while number < seeds or time.monotonic() < until:
-        if play(first + number, seconds, gateways, upstreams):
+        if play(first + number, seconds, gateways, upstreams, limited=limited):
             broken.append(first + number)
         number += 1
     print(f"seeds: {number - len(broken)} passed, {len(broken)} failed {broken or ''}")
--- a/soak/site.py
+++ b/soak/site.py
@@ -36,6 +36,8 @@
 SERVICE = "desk"
 HOST_NAME = "soak.example"
 TIMEOUT_MS, TARGET_MS = 2000, 500
+# The request limit of the upstreams that state one.
+LIMIT_PER_S = 3.0
 
 
 @dataclass(slots=True)
@@ -59,10 +61,13 @@
 class SoakSite:
     """All processes of a run; see :func:`running_site`."""
 
-    def __init__(self, folder: Path, gateways: int, upstreams: int) -> None:
+    def __init__(
+        self, folder: Path, gateways: int, upstreams: int, limited: int = 0
+    ) -> None:
         block = 256 + os.getpid() % 65_000
         self._network = f"127.{block // 256}.{block % 256}"
         self._folder = folder
+        self._limited = limited
         self.version = 0
         self.store_control = self._address(1, STORE_CONTROL_PORT)
         self._proxy_control = self._address(1, PROXY_CONTROL_PORT)
@@ -142,16 +147,17 @@
         slot.journals.append(journal)
         if slot.process is not None:
             slot.process.close()
+        flags = {
+            "instance": slot.instance,
+            "listen": slot.listen,
+            "journal": journal,
+            "latency_s": 0.02 + 0.01 * (slot.number % 4),
+            "failing_share": 0.01,
+        }
+        if slot.number < self._limited:
+            flags["request_limit"] = LIMIT_PER_S
         slot.process = FleetProcess(
-            slot.instance,
-            "banyanshelf_standins.platform_upstream",
-            {
-                "instance": slot.instance,
-                "listen": slot.listen,
-                "journal": journal,
-                "latency_s": 0.02 + 0.01 * (slot.number % 4),
-                "failing_share": 0.01,
-            },
+            slot.instance, "banyanshelf_standins.platform_upstream", flags
         )
         slot.process.start()
         wait_until(lambda: try_status(slot.listen, "/health") == 200, slot.instance)
@@ -182,6 +188,19 @@
                     found.setdefault(run.attempt, []).append((journal.stem, run))
         return found
 
+    def arrivals(self) -> dict[str, list[float]]:
+        """Return the times of all requests by instance that states a limit."""
+        return {
+            journal.stem: [
+                float(line)
+                for line in journal.with_name(f"{journal.name}.arrivals")
+                .read_bytes()
+                .splitlines()
+            ]
+            for slot in self.slots[: self._limited]
+            for journal in slot.journals
+        }
+
     # Platform
 
     def write(self, items: dict[str, Any]) -> None:
@@ -270,9 +289,14 @@
 
 
 @contextmanager
-def running_site(folder: Path, gateways: int, upstreams: int) -> Iterator[SoakSite]:
-    """Start a site and end all its processes afterwards."""
-    site = SoakSite(folder, gateways, upstreams)
+def running_site(
+    folder: Path, gateways: int, upstreams: int, limited: int = 0
+) -> Iterator[SoakSite]:
+    """Start a site and end all its processes afterwards.
+
+    The first ``limited`` upstreams state a request limit.
+    """
+    site = SoakSite(folder, gateways, upstreams, limited)
     with ExitStack() as stack:
         stack.callback(site.close)
         site.start()
