Move the sharing of stated limits out of the coordination module

Change: a class that applies what upstreams state to holders and coordinators and tells other members. No change of behaviour, but that effects of a new coordinator's limits are executed; it has none, as its ledger is empty.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination.py
@@ -20,7 +20,6 @@
     PeerMessage,
     Recall,
     Release,
-    RequestLimitNotice,
 )
 from banyanshelf_core.model import (
     Epoch,
@@ -29,21 +28,18 @@
     ServiceName,
     UpstreamId,
 )
-from banyanshelf_core.permits.effects import CoordinatorEffect, Refuse
+from banyanshelf_core.permits.effects import Refuse
 from banyanshelf_core.permits.holder import (
     IDLE_PERMIT_REASON,
     NO_UPSTREAM_REASON,
     PermitHolder,
 )
-from banyanshelf_core.request_limit import StatedLimit, describe_limit
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.baseline_admission import NO_RETRY_TIME_S, BaselineAdmission
 from banyanshelf_daemon.coordination_views import (
     cap_upstream_slots,
     coordinator_settings,
     holder_settings,
-    limit_notice,
-    limit_of_notice,
     service_snapshot,
 )
 from banyanshelf_daemon.effect_executor import EffectExecutor, PermitInUse, PermitWaiter
@@ -59,6 +55,7 @@
     UpstreamDirectory,
 )
 from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.stated_limit_sharing import StatedLimitSharing
 
 TICK_S = 0.025
 log = Logger("banyanshelf.coordination")
@@ -100,6 +97,7 @@
         self._upstreams_by_service = self._executor.upstreams_by_service
         self._waiting_by_id = self._executor.waiting_by_id
         self._in_use_by_number = self._executor.in_use_by_number
+        self._limits = StatedLimitSharing(reactor, network, self._executor)
         self._last_call_id = 0
         self._baseline: BaselineAdmission | None = None
         self._ticker = PeriodicTask(reactor, self._tick, "coordination")
@@ -115,10 +113,10 @@
             (Grant, self._on_coordinator_message),
             (Recall, self._on_coordinator_message),
             (Leaving, self._on_leaving),
-            (RequestLimitNotice, self._on_limit_notice),
         ]
         for message_class, handler in subscriptions:
             self._network.subscribe(message_class, handler)
+        self._limits.start()
         self._network.on_link_change(self._on_link_change)
         self._members.on_members_change(self._on_members_change)
         self._directory.on_upstreams_change(self._on_upstreams_change)
@@ -225,35 +223,8 @@
                 )
 
     def note_request_limit(self, upstream_id: UpstreamId, limit: float | None) -> None:
-        """Apply the request limit that an answer states, or that it states none.
-
-        A change is announced to the other members.
-        """
-        stated = StatedLimit(limit, self._reactor.seconds())
-        if self._apply_limit(upstream_id, stated):
-            self._network.broadcast(limit_notice(upstream_id, stated, stated.stated_at))
-
-    def _on_limit_notice(self, _sender: MemberId, notice: RequestLimitNotice) -> None:
-        now = self._reactor.seconds()
-        self._apply_limit(notice.upstream, limit_of_notice(now, notice))
-
-    def _apply_limit(self, upstream_id: UpstreamId, stated: StatedLimit) -> bool:
-        """Apply a statement; return whether the limit of the upstream has changed."""
-        now = self._reactor.seconds()
-        is_changed = False
-        for service_name, upstreams in self._upstreams_by_service.items():
-            if upstream_id not in upstreams:
-                continue
-            holder = self.holders_by_service[service_name]
-            is_changed = holder.note_request_limit(upstream_id, stated)
-            coordinator = self.coordinators_by_service.get(service_name)
-            effects: list[CoordinatorEffect] = []
-            if coordinator is not None:
-                effects = coordinator.note_request_limit(now, upstream_id, stated)
-            self._executor.execute(service_name, effects)
-        if is_changed:
-            log.info(describe_limit(upstream_id, stated))
-        return is_changed
+        """Apply the request limit that an answer states, or that it states none."""
+        self._limits.note(upstream_id, limit)
 
     def _admit_by_baseline(
         self,
@@ -342,9 +313,7 @@
         effects = self._roles.update_role(now, service_name, upstreams, settings)
         coordinator = self.coordinators_by_service.get(service_name)
         if coordinator is not None and coordinator is not previous:
-            limits = self.holders_by_service[service_name].local.limits
-            for upstream_id, stated in limits.statements().items():
-                coordinator.note_request_limit(now, upstream_id, stated)
+            self._limits.hand_to_coordinator(service_name, coordinator)
         self._executor.execute(service_name, effects)
 
     def _on_upstreams_change(self) -> None:
@@ -377,10 +346,8 @@
             if coordinator is not None:
                 effects = coordinator.on_link(now, member_id, is_up=is_up)
                 self._executor.execute(service_name, effects)
-            if is_up:
-                for upstream_id, stated in holder.local.limits.statements().items():
-                    notice = limit_notice(upstream_id, stated, now)
-                    self._network.send(member_id, notice)
+        if is_up:
+            self._limits.send_to(member_id)
 
     def _on_leaving(self, sender: MemberId, message: Leaving) -> None:
         self._roles.mark_leaving(sender, message.incarnation)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination_views.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/coordination_views.py
@@ -5,12 +5,10 @@
 from collections.abc import Mapping
 from typing import Any
 
-from banyanshelf_core.messages import RequestLimitNotice
 from banyanshelf_core.model import ServiceName, Upstream, UpstreamId
 from banyanshelf_core.permits.coordinator import SlotCoordinator
 from banyanshelf_core.permits.holder import PermitHolder
 from banyanshelf_core.permits.settings import CoordinatorSettings, HolderSettings
-from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.text import OperatorText, Service
 
 
@@ -50,21 +48,6 @@
     }
 
 
-def limit_notice(
-    upstream_id: UpstreamId, stated: StatedLimit, now: float
-) -> RequestLimitNotice:
-    """Return the message that tells other members what an upstream states."""
-    micro_per_s = -1 if stated.per_s is None else round(stated.per_s * 1e6)
-    age_us = round(max(0.0, now - stated.stated_at) * 1e6)
-    return RequestLimitNotice(upstream_id, micro_per_s, age_us)
-
-
-def limit_of_notice(now: float, notice: RequestLimitNotice) -> StatedLimit:
-    """Return what an upstream states according to another member."""
-    per_s = None if notice.micro_per_s < 0 else notice.micro_per_s / 1e6
-    return StatedLimit(per_s, now - max(0, notice.age_us) / 1e6)
-
-
 def service_snapshot(
     now: float, holder: PermitHolder, coordinator: SlotCoordinator | None
 ) -> dict[str, Any]:
