--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
@@ -48,16 +48,16 @@
     def place(
         self, selector: PlacementSelector, request: PlacementRequest
     ) -> Deferred[Reservation]:
-        """Place a call; most need no question and are placed at once."""
+        """Place a call; most need no query and are placed at once."""
         now = self._reactor.seconds()
         found = selector.choose(now, request)
         if not isinstance(found, Placed):
             return fail(NotAdmittedError(found.reason, found.retry_after_s))
         if found.request_limit is None and not _is_report_missing(found):
             return succeed(self._reserve(selector, found))
-        return Deferred.fromCoroutine(self._place_with_questions(selector, request))
+        return Deferred.fromCoroutine(self._place_after_queries(selector, request))
 
-    async def _place_with_questions(
+    async def _place_after_queries(
         self, selector: PlacementSelector, request: PlacementRequest
     ) -> Reservation:
         probes = queries = 0
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
@@ -21,7 +21,7 @@
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.service_loads import ServiceLoads
 
-# Replies take about 1 ms in a zone and 3 ms between zones.
+# A caller waits at most this long for a keeper.
 QUERY_TIMEOUT_S = 0.04
 # A keeper that has not answered is not asked again for this long.
 SILENCE_HOLD_S = 0.5
