Count the grace period of expired entries from the store's return to any gateway

Cause: a missing entry may be one that expired in an outage of the store and is written again within 2 s of its return. The gateway counted that from its own first answer, 1.6 s after the end of the cut. Other gateways had the store throughout and saw the entry removed, but say for how long it has answered them without interruption, and the dropped history had begun that anew; it was shorter than the gateway's outage, so that it did not count.

Change: once the store has answered another gateway for the grace period, expired entries are back, and what is missing is gone.

--- a/features/platform/store_view.feature
+++ b/features/platform/store_view.feature
@@ -92,6 +92,21 @@
     And another gateway reports that the store has answered it for 60 s
     Then the gateway has configuration 3 and uses "i-1"
 
+  # Guards against requests to a removed upstream at a gateway that hears from the store
+  # later than others: entries that expired are back 2.2 s after the store's return.
+  Scenario Outline: The grace period starts when the store answers any gateway again
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When the store is down for 5 s and the entries of upstreams "i-2" expire
+    And 0.5 s pass by
+    And another gateway reports that the store has answered it for <seconds> s
+    Then the gateway has configuration 3 and uses "<upstreams>"
+
+    Examples:
+      | seconds | upstreams |
+      | 2.3     | i-1       |
+      | 2.0     | i-1 i-2   |
+
   # Guards against further requests to an address that another server has taken over.
   Scenario: An upstream with another server at its address is not used
     Given a store with configuration 3 and upstreams "i-1 i-2"
