Log what gateways know of a request that crashes upstreams

Cause: the log told that some request was marked, not which one, and neither cuts, received marks nor clears; the hypotheses of the incident could not be told apart.

Change: the crash guard and its messages move from CallServices into CrashSharing, which logs and counts cuts, marks, clears and refusals with the first 16 characters of the fingerprint. No decision changes.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -1,4 +1,4 @@
-"""Dependencies, connection pools and crash guard shared by all calls of a daemon."""
+"""Dependencies and connection pools shared by all calls of a daemon."""
 
 from __future__ import annotations
 
@@ -7,13 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from banyanshelf_core.call_messages import CrashClear, CrashMark
 from banyanshelf_core.caller_waits import CallerWaitEstimator
-from banyanshelf_core.crash_guard import CrashGuard
 from banyanshelf_core.errors import RequestLimitError
-from banyanshelf_core.model import Broadcast, MemberId, Upstream, UpstreamId
+from banyanshelf_core.model import Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
 from banyanshelf_core.text import Protection, Service
+from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, NativeDialect
 from banyanshelf_daemon.http_message import AnswerHead
@@ -55,7 +54,7 @@
 
 
 class CallServices:
-    """What calls need: other components, connection pools and the crash guard."""
+    """What calls need: other components, connection pools and crash records."""
 
     def __init__(
         self,
@@ -85,19 +84,24 @@
         self.metrics = metrics
         self.start_id = f"{rng.getrandbits(48):012x}"
         self.caller_waits = CallerWaitEstimator()
-        self.crash_guard = CrashGuard(settings.member_id, self.start_id)
+        self.crashes = CrashSharing(
+            reactor,
+            settings.member_id,
+            self.start_id,
+            self._protection,
+            network,
+            log,
+            metrics,
+        )
         self._configuration = configuration
         self._directory = directory
         self._members = members
-        self._network = network
         self._state_by_service: dict[str, ServiceState] = {}
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
         self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
-        network.subscribe(CrashMark, self._receive_mark)
-        network.subscribe(CrashClear, self._receive_clear)
         directory.on_upstreams_change(self._drop_unknown_pools)
 
     def active(self) -> ActiveText | None:
@@ -135,10 +139,12 @@
                 )
         return pool
 
-    def attempt_cut(self, upstream_id: UpstreamId, fingerprint: str | None) -> None:
+    def attempt_cut(
+        self, upstream_id: UpstreamId, fingerprint: str, request_id: str
+    ) -> None:
         """Handle a connection that was closed before its answer was complete."""
         self.metrics.count("signal.cut")
-        self._guard_cut(upstream_id, fingerprint)
+        self.crashes.record_cut(upstream_id, fingerprint, request_id)
 
     def attempt_head_received(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
         """Read the load and state signals in the head of an answer."""
@@ -175,11 +181,6 @@
         if limit is not None or head.status < 500:
             self._note_request_limit(upstream_id, limit)
 
-    def broadcast(self, effects: list[Broadcast]) -> None:
-        """Send the messages of the crash guard to the other daemons."""
-        for effect in effects:
-            self._network.broadcast(effect.message)
-
     def stop(self) -> None:
         """Close idle connections and cancel the pool timer."""
         if self._sweep_call is not None:
@@ -202,7 +203,7 @@
         if kind == "surplus":
             self.log.event("surplus bytes", upstream=upstream_id)
             return
-        self._guard_cut(upstream_id, None)
+        self.crashes.record_cut(upstream_id)
         if kind == "closed":
             return
         now = self.now()
@@ -214,26 +215,10 @@
             self.log.event("upstream_refuses", upstream=upstream_id)
             self._directory.report_leaving(upstream_id, "connections refused")
 
-    def _guard_cut(self, upstream_id: UpstreamId, fingerprint: str | None) -> None:
-        effects = self.crash_guard.record_connection_cut(
-            upstream_id, self.now(), self._protection(), fingerprint
-        )
-        if effects:
-            self.log.warning(
-                "crash_marked", upstream=upstream_id, requests=len(effects)
-            )
-            self.broadcast(effects)
-
     def _protection(self) -> Protection:
         active = self.active()
         return active.text.protection if active else Protection()
 
-    def _receive_mark(self, _sender: MemberId, mark: CrashMark) -> None:
-        self.crash_guard.receive_mark(mark, self.now(), self._protection())
-
-    def _receive_clear(self, _sender: MemberId, clear: CrashClear) -> None:
-        self.crash_guard.receive_clear(clear)
-
     def _drop_unknown_pools(self) -> None:
         active = self.active()
         if active is None:
--- /dev/null
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/crash_sharing.py
@@ -0,0 +1,140 @@
+"""Shares what the members know about requests that crash upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from banyanshelf_core.call_messages import CrashClear, CrashMark
+from banyanshelf_core.crash_guard import CrashGuard
+from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
+from banyanshelf_core.text import Protection
+from banyanshelf_daemon.decision_log import DecisionLog
+from banyanshelf_daemon.interfaces import PeerNetwork
+from banyanshelf_daemon.metrics import Metrics
+
+# Enough to find a fingerprint in the log lines of all members.
+LOGGED_FINGERPRINT_CHARACTERS = 16
+
+
+class CrashSharing:
+    """Keeps the crash guard of a member, and tells the others what it notices."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        member_id: MemberId,
+        start_id: str,
+        protection: Callable[[], Protection],
+        network: PeerNetwork,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.guard = CrashGuard(member_id, start_id)
+        self._now: Callable[[], float] = reactor.seconds
+        self._protection = protection
+        self._network = network
+        self._log = log
+        self._metrics = metrics
+        network.subscribe(CrashMark, self._receive_mark)
+        network.subscribe(CrashClear, self._receive_clear)
+
+    def record_cut(
+        self,
+        upstream_id: UpstreamId,
+        fingerprint: str | None = None,
+        request_id: str = "",
+    ) -> None:
+        """Handle a connection that the upstream refused or cut.
+
+        ``fingerprint`` and ``request_id`` are those of the request that was cut, if
+        any.
+        """
+        if fingerprint is not None:
+            self._metrics.count("crash.cut")
+            self._log.event(
+                "request cut",
+                request_id=request_id,
+                upstream=upstream_id,
+                fingerprint=_short(fingerprint),
+            )
+        effects = self.guard.record_connection_cut(
+            upstream_id, self._now(), self._protection(), fingerprint
+        )
+        for effect in effects:
+            self._metrics.count("crash.marked")
+            self._log.warning(
+                "crash_marked",
+                upstream=upstream_id,
+                fingerprint=_short(_fingerprint_of(effect)),
+            )
+        self._broadcast(effects)
+
+    def record_answer(self, fingerprint: str, request_id: str, status: int) -> None:
+        """Clear the marks of a request that has been answered."""
+        effects = self.guard.record_answer(fingerprint)
+        if effects:
+            self._metrics.count("crash.cleared")
+            self._log.event(
+                "crash marks cleared",
+                request_id=request_id,
+                fingerprint=_short(fingerprint),
+                status=status,
+            )
+        self._broadcast(effects)
+
+    def is_suspect(self, fingerprint: str, request_id: str, attempts: int) -> bool:
+        """Whether a request must not be retried, as it may crash a further upstream."""
+        if not self.guard.is_suspect(fingerprint, self._now(), self._protection()):
+            return False
+        self._metrics.count("crash.retry_held_back")
+        self._log.event(
+            "request suspected of crashes",
+            request_id=request_id,
+            fingerprint=_short(fingerprint),
+            attempts=attempts,
+        )
+        return True
+
+    def refused_for_s(self, fingerprint: str, request_id: str) -> float | None:
+        """Return the seconds of quarantine left, or None if the request may run."""
+        left_s = self.guard.refused_for_s(fingerprint, self._now(), self._protection())
+        if left_s is not None:
+            self._metrics.count("crash.refused")
+            self._log.event(
+                "request_quarantined",
+                request_id=request_id,
+                fingerprint=_short(fingerprint),
+                left_s=round(left_s, 1),
+            )
+        return left_s
+
+    def _broadcast(self, effects: list[Broadcast]) -> None:
+        for effect in effects:
+            self._network.broadcast(effect.message)
+
+    def _receive_mark(self, sender: MemberId, mark: CrashMark) -> None:
+        self._metrics.count("crash.mark_received")
+        self._log.event(
+            "crash mark received",
+            sender=sender,
+            fingerprint=_short(mark.fingerprint),
+            crash=mark.crash_id,
+        )
+        self.guard.receive_mark(mark, self._now(), self._protection())
+
+    def _receive_clear(self, sender: MemberId, clear: CrashClear) -> None:
+        self._metrics.count("crash.clear_received")
+        self._log.event(
+            "crash clear received", sender=sender, fingerprint=_short(clear.fingerprint)
+        )
+        self.guard.receive_clear(clear)
+
+
+def _fingerprint_of(effect: Broadcast) -> str:
+    message = effect.message
+    return message.fingerprint if isinstance(message, CrashMark | CrashClear) else ""
+
+
+def _short(fingerprint: str) -> str:
+    return fingerprint[:LOGGED_FINGERPRINT_CHARACTERS]
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -80,8 +80,10 @@
         """Handle a complete answer: forward it, or retry after an error."""
         self._attempts.remove(attempt)
         services = self.services
-        if services.crash_guard.has_tracked_requests:
-            services.broadcast(services.crash_guard.record_answer(self.fingerprint()))
+        if services.crashes.guard.has_tracked_requests:
+            services.crashes.record_answer(
+                self.fingerprint(), self.request_id, answer.status
+            )
         not_run = self.says_not_run(answer)
         is_false_promise = services.dialect.falsely_promises_not_run(answer)
         if answer.status < 500 and not (not_run or is_false_promise):
@@ -107,7 +109,9 @@
         self._attempts.remove(attempt)
         self._may_have_run = self._may_have_run or attempt.is_sent
         if attempt.is_sent and not isinstance(error, UpstreamAnswerError):
-            self.services.attempt_cut(attempt.permit.upstream.id, self.fingerprint())
+            self.services.attempt_cut(
+                attempt.permit.upstream.id, self.fingerprint(), self.request_id
+            )
         if self._retry(Failure.CUT if attempt.is_sent else Failure.NOT_SENT):
             return
         if self._attempts or self._pending_hedge_permit is not None:
@@ -260,7 +264,9 @@
         )
 
     def _retry(self, failure: Failure) -> bool:
-        if failure is Failure.CUT and self._is_crash_suspect():
+        if failure is Failure.CUT and self.services.crashes.is_suspect(
+            self.fingerprint(), self.request_id, self._attempt_count
+        ):
             return False
         is_allowed = self._service_state.policy.may_retry(
             failure,
@@ -384,28 +390,13 @@
             retry_after_s,
         )
 
-    def _is_crash_suspect(self) -> bool:
-        guard = self.services.crash_guard
-        protection = self.active.text.protection
-        if not guard.is_suspect(self.fingerprint(), self.now(), protection):
-            return False
-        self.services.log.event(
-            "request suspected of crashes",
-            request_id=self.request_id,
-            attempts=self._attempt_count,
-        )
-        return True
-
     def _is_quarantined(self) -> bool:
-        guard = self.services.crash_guard
-        if not guard.has_tracked_requests:
+        crashes = self.services.crashes
+        if not crashes.guard.has_tracked_requests:
             return False
-        refused_for_s = guard.refused_for_s(
-            self.fingerprint(), self.now(), self.active.text.protection
-        )
+        refused_for_s = crashes.refused_for_s(self.fingerprint(), self.request_id)
         if refused_for_s is None:
             return False
-        self.services.log.event("request_quarantined", request_id=self.request_id)
         self.finish_problem(
             503,
             "this request has crashed the servers that ran it; do not repeat it",
