Clear crash marks only after a completed run

What callers saw: while upstreams were down, the others full, a request went on to end them although each crash had been noticed.

Cause: any complete answer cleared the marks of a request at all gateways: a 503 of a full upstream, a 421 at an address used again, and a 500 that a failing upstream gives before it begins. A streamed answer cleared none. Class: an answer taken for a statement that it does not make.

--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -30,6 +30,24 @@
       | calls to a draining upstream                     | 1 | GET /a >> upstream HTTP/1.1 200 OK\r\nUpstream-State: draining\r\nUpstream-Load: in_flight=2, slots=3\r\nContent-Length: 0\r\n\r\n | leaving desk-1; load [('desk-1', 2, 3)]; header Upstream-Load= |
       | calls to an upstream that refuses connections    | 1 | refuse 1 >> GET /a >> GET /a | leaving desk-1 |
 
+  # Guards against an answer that makes all gateways forget crashes without a run.
+  Scenario Outline: Crash marks after <answer>
+    Given a data path with upstream_count=3
+    When these data path events happen: "POST /a bad >> crash >> expect marks 1 >> POST /a bad >> <events>"
+    Then the data path shows "marks <messages>"
+
+    Examples:
+      | answer                     | events | messages |
+      | a refusal                  | not_run | 1 |
+      | an error                   | 500 bad | 1 |
+      | an error of a proxy        | 504 late | 1 |
+      | too many requests          | 429 busy | 1 |
+      | a request at another host  | 421 another | 1 |
+      | an answer                  | 200 ok | 2 |
+      | an answer of an error page | 404 none | 2 |
+      | a streamed answer          | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> long 100000 | 2 |
+      | a cut streamed answer      | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> cut | 1 |
+
   # Each row names the failure that it guards against.
   Scenario Outline: Claims: no <failure>
     Given a data path with upstream_count=1
--- a/features/daemon/crashing_request_sizes.feature
+++ b/features/daemon/crashing_request_sizes.feature
@@ -19,7 +19,6 @@
       | 312      | 5     | 660       | 8       |
 
   # Guards against a refusal or an error that makes gateways forget crashes.
-  @known_red
   Scenario Outline: Crashes are remembered by <gateways> gateways while upstreams are <mood>
     Given <gateways> gateways in 3 zones and <upstreams> upstreams that a request crashes
     When 50 % of the upstreams are <mood>
--- a/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
@@ -19,6 +19,17 @@
 MAX_FINGERPRINTS_PER_INCIDENT = 64
 MAX_MARKED_FINGERPRINTS = 4096
 MAX_MARKS_PER_FINGERPRINT = 16
+# A server gives these to requests that it has not processed.
+UNPROCESSED_STATUSES = frozenset({408, 421, 425, 429})
+
+
+def shows_completed_run(status: int) -> bool:
+    """Whether a server that answers with ``status`` has run the request to its end.
+
+    Errors of the server do not show it: they can precede the part of the request that
+    crashes it.
+    """
+    return status < 500 and status not in UNPROCESSED_STATUSES
 
 
 def request_fingerprint(
@@ -107,7 +118,7 @@
         return [Broadcast(mark) for mark in marks]
 
     def record_answer(self, fingerprint: str) -> list[Broadcast]:
-        """Remove the marks of a request that has been answered completely."""
+        """Remove the marks of a request that an upstream has run to its end."""
         if fingerprint in self._suspects:
             self._suspects.discard(fingerprint)
             for incident in self._incidents.values():
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
@@ -81,6 +81,7 @@
         if head is None:
             return
         self.report_metrics(head.status, 0.0)
+        self.clear_crash_marks(head.status)
         self._record_then(
             ClaimOutcome.COMPLETED, self._stored(head.status, None), self._send_end
         )
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -6,6 +6,7 @@
 from twisted.python.failure import Failure as DeferredFailure
 
 from banyanshelf_core.call_messages import ClaimOutcome
+from banyanshelf_core.crash_guard import shows_completed_run
 from banyanshelf_core.errors import UpstreamAnswerError, UpstreamError
 from banyanshelf_core.model import AnswerKind, Outcome
 from banyanshelf_core.retry import RETRIED_STATUSES, Failure
@@ -80,15 +81,12 @@
         """Handle a complete answer: forward it, or retry after an error."""
         self._attempts.remove(attempt)
         services = self.services
-        if services.crashes.guard.has_tracked_requests:
-            services.crashes.record_answer(
-                self.fingerprint(), self.request_id, answer.status
-            )
         not_run = self.says_not_run(answer)
         is_false_promise = services.dialect.falsely_promises_not_run(answer)
         if answer.status < 500 and not (not_run or is_false_promise):
             # Errors are left out: fast ones would shorten the hedge delay.
             self._service_state.policy.note_answer(attempt.service_time_s)
+            self.clear_crash_marks(answer.status)
             self.finish(answer, attempt)
             return
         self._may_have_run = self._may_have_run or not not_run
@@ -145,6 +143,7 @@
         """Finish a streamed answer."""
         if self._stream_head is not None:
             self.report_metrics(self._stream_head.status, 0.0)
+            self.clear_crash_marks(self._stream_head.status)
         self._end(AnswerKind.CANCELLED)
         self.exchange.finish()
         self.exchange.call_ended()
@@ -299,6 +298,12 @@
                 504, "no answer within the time limit", "http_response_timeout", 1.0
             )
 
+    def clear_crash_marks(self, status: int) -> None:
+        """Clear the marks of the request after an answer that shows a completed run."""
+        crashes = self.services.crashes
+        if crashes.guard.has_tracked_requests and shows_completed_run(status):
+            crashes.record_answer(self.fingerprint(), self.request_id, status)
+
     def end_by_shutdown(self) -> None:
         """Answer 503, with the known outcome, as this gateway is shutting down."""
         if self.is_over:
