Repeat crash marks to gateways that have missed them

What callers saw: a request that had been stopped went on to end upstreams through some of the gateways.

Cause: a mark was one datagram to the gateways known at that moment. One that lost it, started later, was cut off or was not known to anybody in its zone never heard of the crash, and needed two marks of its own. Class: state that is only sent as an event and never repeated. banyanshelfd had the same fault for members without a link.

Change: crashes are records with ids (CrashRecords) that merge in any order; a clear names what it revokes, so that a late mark revives nothing and a repeated one extends nothing.

--- a/features/core/crash_guard.feature
+++ b/features/core/crash_guard.feature
@@ -17,6 +17,24 @@
       | crash loop through several gateways | cut r desk-1 1.0; cut - desk-1 1.1; mark r 1.2 | 1 | r@2.0 | |
       | refusal after an answer elsewhere   | cut r desk-1 1.0; cut - desk-1 1.1; mark r 1.2; clear r | 1 | | r@2.0 |
 
+  # "clear r 1.0 a" clears the crash with id a, and "mark r 1.1 a" tells of it.
+  Scenario Outline: Marks that arrive late or again: no <failure>
+    Given a crash guard with limit 2 and quarantine 600 s
+    When the crash guard sees "<events>"
+    Then the crash guard sends 0 marks, refuses "<refused>" and runs "<run>"
+
+    Examples:
+      | failure                              | events | refused | run |
+      | count of a crash before its clear    | clear r 1.0 a; mark r 1.1 a; mark r 1.2 b | | r@2.0 |
+      | clear of a crash that it cannot name | mark r 1.0 a; clear r 1.1 a; mark r 1.2 b; mark r 1.3 c | r@2.0 | |
+      | second count of a repeated mark      | mark r 1.0 a; mark r 1.1 a | | r@2.0 |
+      | longer quarantine by a repeated mark | mark r 1.0 a; mark r 2.0 b; mark r 500.0 b | r@601.9 | r@602.1 |
+
+  # Guards against members that go on to disagree after lost and reordered messages.
+  Scenario: Members agree on the crashes after they have exchanged records
+    When 7 members notice crashes and answers while messages are lost, 60x
+    Then after exchanges all members count the same crashes in each run
+
   # Guards against many different requests that exhaust the memory.
   Scenario: Memory is bounded
     Given a crash guard with limit 2 and quarantine 600 s
--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -48,6 +48,17 @@
       | a streamed answer          | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> long 100000 | 2 |
       | a cut streamed answer      | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> cut | 1 |
 
+  # Guards against a member that never learns of what happened while it had no link.
+  Scenario Outline: A member whose link comes up is told of <what>
+    Given a data path with upstream_count=3
+    When these data path events happen: "POST /a bad >> crash >> <events>"
+    Then the data path shows "told other <message>"
+
+    Examples:
+      | what     | events                    | message    |
+      | a crash  | link                           | CrashMark  |
+      | a clear  | POST /a bad >> 200 ok >> link  | CrashClear |
+
   # Each row names the failure that it guards against.
   Scenario Outline: Claims: no <failure>
     Given a data path with upstream_count=1
--- a/features/daemon/crashing_request_sizes.feature
+++ b/features/daemon/crashing_request_sizes.feature
@@ -12,7 +12,6 @@
       | gateways | zones | upstreams | seconds |
       | 13       | 3     | 26        | 9       |
 
-    @known_red
     Examples:
       | gateways | zones | upstreams | seconds |
       | 136      | 3     | 145       | 8       |
@@ -44,7 +43,6 @@
       | gateways | zones | upstreams | count |
       | 13       | 3     | 26        | 13    |
 
-    @known_red
     Examples:
       | gateways | zones | upstreams | count |
       | 136      | 3     | 145       | 24    |
@@ -60,7 +58,6 @@
       | gateways | zones | upstreams |
       | 13       | 3     | 26        |
 
-    @known_red
     Examples:
       | gateways | zones | upstreams |
       | 136      | 3     | 145       |
@@ -79,7 +76,6 @@
       | gateways | upstreams | count |
       | 13       | 26        | 4     |
 
-    @known_red
     Examples:
       | gateways | upstreams | count |
       | 136      | 145       | 40    |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -210,6 +210,12 @@
     handler("other", CrashMark(call.args[0].fingerprint, "other-crash"))
 
 
+def on_link(context):
+    """Let the link to another member come up."""
+    [call] = context.path.collaborators.on_link_change.call_args_list
+    call.args[0]("other", True)
+
+
 def on_warm(context):
     """Answer enough calls for slow ones to be hedged."""
     for _ in range(MIN_HEDGE_SAMPLES):
@@ -338,6 +344,10 @@
         each.args[0] for each in c.path.collaborators.report_leaving.call_args_list
     ),
     "marks": lambda c: str(c.path.collaborators.broadcast.call_count),
+    "told": lambda c: " ".join(
+        f"{each.args[0]} {type(each.args[1]).__name__}"
+        for each in c.path.collaborators.send.call_args_list
+    ),
     "permit": lambda c: (
         f"{c.path.permits.requests[-1].depth} "
         f"{c.path.permits.requests[-1].caller_service}".strip()
--- a/features/steps/crashing_fleet.py
+++ b/features/steps/crashing_fleet.py
@@ -14,6 +14,7 @@
 from banyanshelf_core.model import Upstream
 from banyanshelf_core.text import parse_text
 from banyanshelf_daemon.call import CallHandler
+from banyanshelf_daemon.crash_exchange import CrashExchange
 from banyanshelf_daemon.http_message import Request
 from banyanshelf_daemon.interfaces import ActiveText, NotAdmittedError, Permit
 from banyanshelf_daemon.metrics import Metrics
@@ -182,7 +183,7 @@
         self.servers = {}
         self.arrivals, self.crashes, self.poison_statuses = [], [], []
         self.statuses = []
-        self.handlers = {}
+        self.handlers, self.exchanges = {}, {}
         self.started_at = {}
         self.rng = random.Random(seed)
         self.version = 0
@@ -261,6 +262,13 @@
             PlatformDialect(),
             POOL_RULES,
         )
+        exchange = self.exchanges[name] = CrashExchange(
+            reactor,
+            link,
+            self.handlers[name].services.crashes,
+            random.Random(f"exchange/{name}"),
+        )
+        exchange.start()
         return super().add_sharing(name, link)
 
     def add(self, name):
@@ -270,6 +278,7 @@
     def stop(self, name):
         super().stop(name)
         self.handlers.pop(name)
+        self.exchanges.pop(name).stop()
 
     def _route_to(self, services):
         self.version += 1
--- a/features/steps/datapath_core_steps.py
+++ b/features/steps/datapath_core_steps.py
@@ -1,5 +1,7 @@
 """Steps for request matching, retry budgets and the crash guard."""
 
+import random
+
 from behave import given, then, when
 
 from banyanshelf_core.call_messages import CrashClear, CrashMark
@@ -78,10 +80,12 @@
             case "answer":
                 context.effects += guard.record_answer(request)
             case "mark":
-                mark = CrashMark(request, "gateway-2/start-1/1")
+                crash_id = rest[1] if len(rest) > 1 else "gateway-2/start-1/1"
+                mark = CrashMark(request, crash_id)
                 guard.receive_mark(mark, float(rest[0]), protection)
             case "clear":
-                guard.receive_clear(CrashClear(request))
+                now = float(rest[0]) if rest else 0.0
+                guard.receive_clear(CrashClear(request, rest[1:]), now, protection)
 
 
 @then('the crash guard sends {marks:d} marks, refuses "{refused}" and runs "{run}"')
@@ -95,6 +99,74 @@
             assert (found is not None) == expected, (request, now, found)
 
 
+class CrashMembers:
+    """Members that notice and clear crashes, and exchange rows with losses."""
+
+    def __init__(self, seed, count):
+        self.rng = random.Random(seed)
+        self.protection = Protection()
+        self.guards = [CrashGuard(f"g{each}", "s") for each in range(count)]
+        self.now = 0.0
+
+    def act(self):
+        """Let some member notice a crash or an answer; its message may be lost."""
+        self.now += 0.1
+        guard = self.rng.choice(self.guards)
+        request = self.rng.choice("rst")
+        if self.rng.random() < 0.7:
+            upstream = f"u{self.rng.randrange(20)}"
+            effects = guard.record_connection_cut(
+                upstream, self.now, self.protection, request
+            ) + guard.record_connection_cut(upstream, self.now, self.protection)
+        else:
+            effects = guard.record_answer(request)
+        for effect in effects:
+            for other in self.guards:
+                if other is not guard and self.rng.random() < 0.5:
+                    self.deliver(other, effect.message)
+
+    def deliver(self, guard, message):
+        match message:
+            case CrashMark():
+                guard.receive_mark(message, self.now, self.protection)
+            case CrashClear():
+                guard.receive_clear(message, self.now, self.protection)
+
+    def exchange(self):
+        """Let a member repeat rows to another one, which corrects it."""
+        sender, receiver = self.rng.sample(self.guards, 2)
+        rows = sender.records.next_rows(self.now, 10)
+        corrections = receiver.receive_rows(rows, self.now, self.protection)
+        sender.receive_rows(corrections, self.now, self.protection)
+
+    def counts(self):
+        return {
+            tuple(each.records.count(request, self.now) for request in "rst")
+            for each in self.guards
+        }
+
+
+@when(
+    "{members:d} members notice crashes and answers while messages are lost, {runs:d}x"
+)
+def step_members(context, members, runs):
+    context.counts = []
+    for seed in range(runs):
+        fleet = CrashMembers(seed, members)
+        for _ in range(25):
+            fleet.act()
+        for _ in range(40 * members):
+            fleet.exchange()
+        context.counts.append(fleet.counts())
+
+
+@then("after exchanges all members count the same crashes in each run")
+def step_members_agree(context):
+    differing = [each for each in context.counts if len(each) > 1]
+    assert not differing, differing
+    assert len({next(iter(each)) for each in context.counts}) > 1, "nothing happened"
+
+
 @when("{count:d} different requests are cut and marked")
 def step_flood(context, count):
     for number in range(count):
@@ -106,5 +178,5 @@
 @then("the crash guard holds at most {marks:d} marks and {incidents:d} incidents")
 def step_bounded(context, marks, incidents):
     guard = context.guard
-    assert len(guard._marks) <= marks
+    assert len(guard.records) <= marks
     assert max(len(guard._incidents), len(guard._suspects)) <= incidents
--- a/packages/banyanshelf-core/src/banyanshelf_core/call_messages.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/call_messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -25,13 +25,19 @@
 
     fingerprint: str
     crash_id: str
+    upstream: str = ""
+    age_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CrashClear:
-    """The request was answered completely, so its crash marks no longer apply."""
+    """The request was run to its end, so that these crashes do not count.
+
+    Without ``crash_ids``, all crashes that the receiver knows do not count.
+    """
 
     fingerprint: str
+    crash_ids: list[str] = field(default_factory=list)
 
 
 class ClaimStatus(StrEnum):
--- a/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import sha256
 
 from banyanshelf_core.call_messages import CrashClear, CrashMark
+from banyanshelf_core.crash_records import CrashRecords, CrashRow
 from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
 from banyanshelf_core.text import Protection
 
 INCIDENT_WINDOW_S = 0.5
+MICROSECONDS_PER_SECOND = 1_000_000
 # One cut connection may be a network failure. An upstream that crashed also cuts or
 # refuses another connection.
 MIN_CUTS_PER_CRASH = 2
 # These limits bound the memory; the oldest entry is dropped first.
 MAX_INCIDENTS = 1024
 MAX_FINGERPRINTS_PER_INCIDENT = 64
-MAX_MARKED_FINGERPRINTS = 4096
-MAX_MARKS_PER_FINGERPRINT = 16
 # A server gives these to requests that it has not processed.
 UNPROCESSED_STATUSES = frozenset({408, 421, 425, 429})
 
@@ -52,12 +53,6 @@
     fingerprints: set[str] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class _Marks:
-    crash_ids: set[str]
-    expires: float
-
-
 class CrashGuard:
     """Counts crashes by request fingerprint and refuses requests at the crash limit.
 
@@ -68,7 +63,7 @@
     Example:
         After ``guard.record_connection_cut("desk-1", now, protection, fingerprint)``
         for the call, ``guard.record_connection_cut("desk-1", now, protection)`` for
-        another connection returns ``[Broadcast(CrashMark(fingerprint, crash_id))]``.
+        another connection returns the ``Broadcast`` of a ``CrashMark``.
 
     """
 
@@ -77,7 +72,7 @@
         self._crash_id_prefix = f"{member_id}/{start_id}"
         self._crashes = 0
         self._incidents: OrderedDict[UpstreamId, _Incident] = OrderedDict()
-        self._marks: OrderedDict[str, _Marks] = OrderedDict()
+        self.records = CrashRecords()
         self._suspects: set[str] = set()
 
     @property
@@ -86,7 +81,7 @@
 
         If not, callers need not compute fingerprints.
         """
-        return bool(self._marks or self._suspects)
+        return bool(len(self.records) or self._suspects)
 
     def record_connection_cut(
         self,
@@ -110,12 +105,15 @@
             self._suspects.add(fingerprint)
         if incident.cut_connections < MIN_CUTS_PER_CRASH:
             return []
-        marks = [
-            CrashMark(marked, incident.crash_id)
+        return [
+            Broadcast(CrashMark(marked, incident.crash_id, upstream_id))
             for marked in sorted(incident.fingerprints)
-            if self._add_mark(marked, incident.crash_id, now, protection)
+            if self.records.add(
+                CrashRow(marked, incident.crash_id, upstream_id, 0.0),
+                now,
+                protection.crash_quarantine_s,
+            )
         ]
-        return [Broadcast(mark) for mark in marks]
 
     def record_answer(self, fingerprint: str) -> list[Broadcast]:
         """Remove the marks of a request that an upstream has run to its end."""
@@ -123,17 +121,36 @@
             self._suspects.discard(fingerprint)
             for incident in self._incidents.values():
                 incident.fingerprints.discard(fingerprint)
-        if self._marks.pop(fingerprint, None) is None:
-            return []
-        return [Broadcast(CrashClear(fingerprint))]
+        cleared = self.records.clear(fingerprint)
+        return [Broadcast(CrashClear(fingerprint, cleared))] if cleared else []
 
     def receive_mark(self, mark: CrashMark, now: float, protection: Protection) -> None:
         """Add a mark received from another member."""
-        self._add_mark(mark.fingerprint, mark.crash_id, now, protection)
+        age_s = max(0, mark.age_us) / MICROSECONDS_PER_SECOND
+        row = CrashRow(mark.fingerprint, mark.crash_id, mark.upstream, age_s)
+        self.receive_rows([row], now, protection)
 
-    def receive_clear(self, clear: CrashClear) -> None:
+    def receive_clear(
+        self, clear: CrashClear, now: float, protection: Protection
+    ) -> None:
         """Remove the marks of a request that another member saw answered."""
-        self._marks.pop(clear.fingerprint, None)
+        if not clear.crash_ids:
+            self.records.clear(clear.fingerprint)
+        # A mark that arrives after its clear must not count.
+        self.receive_rows(
+            [
+                CrashRow(clear.fingerprint, crash_id, "", 0.0, is_cleared=True)
+                for crash_id in clear.crash_ids
+            ],
+            now,
+            protection,
+        )
+
+    def receive_rows(
+        self, rows: Iterable[CrashRow], now: float, protection: Protection
+    ) -> list[CrashRow]:
+        """Merge what another member knows; return what it has to be corrected in."""
+        return self.records.merge(rows, now, protection.crash_quarantine_s)
 
     def is_suspect(self, fingerprint: str, now: float, protection: Protection) -> bool:
         """Whether a request may have crashed as many upstreams as the limit allows.
@@ -141,8 +158,7 @@
         Unconfirmed cuts count too, because a retry can be sent before the refused
         connection that confirms the crash.
         """
-        marks = self._marks.get(fingerprint)
-        marked = len(marks.crash_ids) if marks and now < marks.expires else 0
+        marked = self.records.count(fingerprint, now)
         unconfirmed = sum(
             1
             for incident in self._incidents.values()
@@ -156,15 +172,9 @@
         self, fingerprint: str, now: float, protection: Protection
     ) -> float | None:
         """Return the seconds of quarantine left, or None if the request may run."""
-        marks = self._marks.get(fingerprint)
-        if marks is None:
-            return None
-        if now >= marks.expires:
-            del self._marks[fingerprint]
+        if self.records.count(fingerprint, now) < protection.crash_limit:
             return None
-        if len(marks.crash_ids) < protection.crash_limit:
-            return None
-        return marks.expires - now
+        return self.records.expires(fingerprint) - now
 
     def _begin_incident(self, upstream_id: UpstreamId, now: float) -> _Incident:
         self._crashes += 1
@@ -178,20 +188,3 @@
     def _forget(self, incident: _Incident | None) -> None:
         if incident is not None:
             self._suspects -= incident.fingerprints
-
-    def _add_mark(
-        self, fingerprint: str, crash_id: str, now: float, protection: Protection
-    ) -> bool:
-        expires = now + protection.crash_quarantine_s
-        marks = self._marks.get(fingerprint)
-        if marks is None or now >= marks.expires:
-            marks = self._marks[fingerprint] = _Marks(set(), expires)
-            while len(self._marks) > MAX_MARKED_FINGERPRINTS:
-                self._marks.popitem(last=False)
-        if crash_id in marks.crash_ids:
-            return False
-        if len(marks.crash_ids) < MAX_MARKS_PER_FINGERPRINT:
-            marks.crash_ids.add(crash_id)
-        marks.expires = expires
-        self._marks.move_to_end(fingerprint)
-        return True
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -80,13 +80,16 @@
     """A request that crashed an upstream, or that was found harmless.
 
     A gateway knows only a few members of other zones; these forward the notice once
-    within their zone.
+    within their zone. ``crash_id`` is empty if the request was found harmless;
+    ``cleared_ids`` are then the crashes that do not count.
     """
 
     sender: MemberId
     fingerprint: str
     crash_id: str
     is_forwarded: bool = False
+    upstream: UpstreamId = ""
+    cleared_ids: list[str] = []
 
 
 class ZoneDigest(msgspec.Struct, array_like=True, tag=4, frozen=True):
@@ -187,6 +190,22 @@
     incarnation: int
 
 
+# Fingerprint, id of the crash, upstream, age in seconds, and whether it is cleared.
+CrashDigestRow = tuple[str, str, UpstreamId, Seconds, bool]
+
+
+class CrashDigest(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Repeats crashes that the sender knows of, as a notice can be lost.
+
+    The receiver returns the rows that it knows to be cleared, and with
+    ``wants_answer`` also the most important crashes that it knows of.
+    """
+
+    sender: MemberId
+    rows: list[CrashDigestRow]
+    wants_answer: bool
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -199,4 +218,5 @@
     | LimitQuery
     | LimitReply
     | DepartureNotice
+    | CrashDigest
 )
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/crash_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/crash_sharing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from banyanshelf_core.call_messages import CrashClear, CrashMark
-from banyanshelf_core.crash_guard import CrashGuard
+from banyanshelf_core.crash_guard import MICROSECONDS_PER_SECOND, CrashGuard
+from banyanshelf_core.crash_records import CrashRow
 from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
 from banyanshelf_core.text import Protection
 from banyanshelf_daemon.decision_log import DecisionLog
@@ -15,6 +16,7 @@
 
 # Enough to find a fingerprint in the log lines of all members.
 LOGGED_FINGERPRINT_CHARACTERS = 16
+MAX_ROWS_PER_LINK = 128
 
 
 class CrashSharing:
@@ -38,6 +40,7 @@
         self._metrics = metrics
         network.subscribe(CrashMark, self._receive_mark)
         network.subscribe(CrashClear, self._receive_clear)
+        network.on_link_change(self._link_changed)
 
     def record_cut(
         self,
@@ -109,6 +112,18 @@
             )
         return left_s
 
+    def receive_rows(
+        self, sender: MemberId, rows: Iterable[CrashRow]
+    ) -> list[CrashRow]:
+        """Merge what another member repeats; return what it must be corrected in."""
+        known = len(self.guard.records)
+        corrections = self.guard.receive_rows(rows, self._now(), self._protection())
+        learned = len(self.guard.records) - known
+        if learned > 0:
+            self._metrics.count("crash.learned_late", learned)
+            self._log.event("crashes learned late", sender=sender, requests=learned)
+        return corrections
+
     def _broadcast(self, effects: list[Broadcast]) -> None:
         for effect in effects:
             self._network.broadcast(effect.message)
@@ -128,7 +143,20 @@
         self._log.event(
             "crash clear received", sender=sender, fingerprint=_short(clear.fingerprint)
         )
-        self.guard.receive_clear(clear)
+        self.guard.receive_clear(clear, self._now(), self._protection())
+
+    def _link_changed(self, member_id: MemberId, is_up: bool) -> None:
+        """Repeat what the member may have missed without a link."""
+        if not is_up:
+            return
+        for row in self.guard.records.top_rows(self._now(), MAX_ROWS_PER_LINK):
+            message: CrashMark | CrashClear
+            if row.is_cleared:
+                message = CrashClear(row.fingerprint, [row.crash_id])
+            else:
+                age_us = int(row.age_s * MICROSECONDS_PER_SECOND)
+                message = CrashMark(row.fingerprint, row.crash_id, row.upstream, age_us)
+            self._network.send(member_id, message)
 
 
 def _fingerprint_of(effect: Broadcast) -> str:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
@@ -104,10 +104,10 @@
         """Send a crash mark or clear to every known member."""
         own_id = self.members.identity.id
         match message:
-            case CrashMark(fingerprint, crash_id):
-                notice = CrashNotice(own_id, fingerprint, crash_id)
-            case CrashClear(fingerprint):
-                notice = CrashNotice(own_id, fingerprint, "")
+            case CrashMark(fingerprint, crash_id, upstream):
+                notice = CrashNotice(own_id, fingerprint, crash_id, upstream=upstream)
+            case CrashClear(fingerprint, crash_ids):
+                notice = CrashNotice(own_id, fingerprint, "", cleared_ids=crash_ids)
             case _:
                 return
         content = encode_datagram(notice)
@@ -194,9 +194,9 @@
             self.send_to_zone(forwarded)
         message: CrashMark | CrashClear
         if notice.crash_id:
-            message = CrashMark(notice.fingerprint, notice.crash_id)
+            message = CrashMark(notice.fingerprint, notice.crash_id, notice.upstream)
         else:
-            message = CrashClear(notice.fingerprint)
+            message = CrashClear(notice.fingerprint, notice.cleared_ids)
         handler = self._crash_handlers.get(type(message))
         if handler is not None:
             handler(notice.sender, message)
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/peer.thrift
@@ -144,10 +144,13 @@
 struct CrashMark {
   1: optional string fingerprint
   2: optional string crash_id
+  3: optional string upstream
+  4: optional i64 age_us
 }
 
 struct CrashClear {
   1: optional string fingerprint
+  2: optional list<string> crash_ids
 }
 
 struct ClaimRequest {
