Check the quarantine again when a permit arrives

What callers saw: not seen by itself; found while the cause was looked for elsewhere.

Cause: a call checks the quarantine before it waits for a permit, and a second attempt did not check it at all. Crashes noticed meanwhile did not stop it. Class: a check before a wait, and the act after it.

Change: the quarantine is checked when the permit arrives, for first attempts, retries and second attempts. A second attempt that is dropped ends the call if nothing else is in progress.

Evidence: three rows of call_failures.feature failed before (sent 1 and 2 instead of 0 and 1, an answer of a run that must not begin) and pass now.

--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -27,6 +27,9 @@
       | old retry limit after a new text                 | 2 | GET /a >> 200 ok >> text max_attempts = 1 >> GET /a >> cut | answer 502 unknown; sent 2 |
       | third run of a request suspected of crashes      | 3 | warm >> GET /a >> cut >> cut | answer 502 unknown; sent 2 |
       | crash loop                                       | 3 | POST /a bad >> crash >> expect answer 502 unknown >> expect marks 1 >> mark >> POST /a bad >> expect answer 503 not_run >> POST /a good >> 200 ok | answer 200 ok |
+      | run of a call whose crashes were noticed while it waited | 3 | hold_permits >> GET /a >> others_mark GET >> grant | answer 503 not_run; sent 0; released cancelled |
+      | hedge of a call whose crashes were noticed meanwhile | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> grant >> expect sent 1 >> 200 ok | answer 200 ok; decisions hedge=0 |
+      | call left without an end by a refused hedge      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> cut >> grant | answer 503 unknown; sent 1 |
       | calls to a draining upstream                     | 1 | GET /a >> upstream HTTP/1.1 200 OK\r\nUpstream-State: draining\r\nUpstream-Load: in_flight=2, slots=3\r\nContent-Length: 0\r\n\r\n | leaving desk-1; load [('desk-1', 2, 3)]; header Upstream-Load= |
       | calls to an upstream that refuses connections    | 1 | refuse 1 >> GET /a >> GET /a | leaving desk-1 |
 
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -16,6 +16,7 @@
 from twisted.internet.error import ConnectionDone
 
 from banyanshelf_core.call_messages import ClaimStatus, CrashMark, StoredAnswer
+from banyanshelf_core.crash_guard import request_fingerprint
 from banyanshelf_core.retry import MIN_HEDGE_SAMPLES
 from banyanshelf_daemon.interfaces import NotAdmittedError
 
@@ -210,6 +211,15 @@
     handler("other", CrashMark(call.args[0].fingerprint, "other-crash"))
 
 
+def on_others_mark(context, method):
+    """Receive two crash marks for a request to /a from other members."""
+    fingerprint = request_fingerprint("desk", method, b"/a", b"", b"")
+    subscriptions = context.path.collaborators.subscribe.call_args_list
+    [handler] = [each.args[1] for each in subscriptions if each.args[0] is CrashMark]
+    for number in range(2):
+        handler("other", CrashMark(fingerprint, f"crash-{number}", f"desk-{number}"))
+
+
 def on_link(context):
     """Let the link to another member come up."""
     [call] = context.path.collaborators.on_link_change.call_args_list
@@ -264,6 +274,7 @@
         c.path.permits, "refusal", NotAdmittedError("the queue is full", 3.0)
     ),
     "hold_permits": lambda c: setattr(c.path.permits, "is_holding_back", True),
+    "grant": lambda c: (c.path.permits.grant_held(), c.path.settle()),
     "hold_record": lambda c: setattr(c.path.claims, "record_waiter", Deferred()),
     "record": lambda c: c.path.claims.record_waiter.callback(None),
     "gone": lambda c: c.caller.cut(),
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -83,17 +83,26 @@
         self.upstreams = upstreams
         self.requests, self.released, self.reports = [], [], []
         self.is_holding_back = False
+        self.held = []
         self.refusal = None
 
     def acquire(self, service_name, request):
         self.requests.append(request)
         if self.is_holding_back:
-            return Deferred()
+            self.held.append((service_name, request, Deferred()))
+            return self.held[-1][2]
         free = [each for each in self.upstreams if each.id not in request.excluded]
         if self.refusal is None and free:
             return succeed(Permit(free[0], 4, "idle_permit", len(self.upstreams)))
         return fail(self.refusal or NotAdmittedError("no upstream is left", 1.0))
 
+    def grant_held(self):
+        """Decide on the requests that were held back."""
+        self.is_holding_back = False
+        held, self.held = self.held, []
+        for service_name, request, waiter in held:
+            self.acquire(service_name, request).chainDeferred(waiter)
+
     def release(self, permit, sample):
         self.released.append(str(sample.kind))
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -210,7 +210,8 @@
 
     def _admitted(self, permit: Permit) -> None:
         self._pending_permit = None
-        if self.is_over:
+        # Crashes may have been noticed while the call waited.
+        if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
         hedge_delay_s = self._service_state.policy.hedge_delay_s(
@@ -355,6 +356,13 @@
         if self.is_over:
             self.release_unused(permit)
             return
+        if self._left_quarantine_s() is not None:
+            self.release_unused(permit)
+            self._service_state.policy.refund_hedge(self.now())
+            self._log_no_hedge("the request has crashed upstreams")
+            if not (self._attempts or self._pending_permit):
+                self._is_quarantined()
+            return
         self.services.metrics.count(self._service_state.hedge_metric)
         self._send(permit, "hedge")
 
@@ -395,11 +403,14 @@
             retry_after_s,
         )
 
-    def _is_quarantined(self) -> bool:
+    def _left_quarantine_s(self) -> float | None:
         crashes = self.services.crashes
         if not crashes.guard.has_tracked_requests:
-            return False
-        refused_for_s = crashes.refused_for_s(self.fingerprint(), self.request_id)
+            return None
+        return crashes.refused_for_s(self.fingerprint(), self.request_id)
+
+    def _is_quarantined(self) -> bool:
+        refused_for_s = self._left_quarantine_s()
         if refused_for_s is None:
             return False
         self.finish_problem(
