Count a crash once that several members notice

What callers saw: not reported; possible since marks exist: a harmless request to a path that many callers ask for is refused everywhere after one crash.

Cause: each member that notices a crash gives it an id of its own, and the ids were counted. Two connections of two gateways to one upstream made two crashes.

Change: crashes of one upstream within 1 s of each other count as one; an upstream takes longer to start again.

Evidence: the row 'second count by another member' fails without the change.

--- a/features/core/crash_guard.feature
+++ b/features/core/crash_guard.feature
@@ -30,6 +30,8 @@
       | failure                              | events | refused | run |
       | count of a crash before its clear    | clear r 1.0 a; mark r 1.1 a; mark r 1.2 b | | r@2.0 |
       | clear of a crash that it cannot name | mark r 1.0 a; clear r 1.1 a; mark r 1.2 b; mark r 1.3 c | r@2.0 | |
+      | second count by another member       | mark r 1.0 a desk-1; mark r 1.4 b desk-1 | | r@2.0 |
+      | loss of one upstream's next crash    | mark r 1.0 a desk-1; mark r 4.0 b desk-1 | r@5.0 | |
       | second count of a repeated mark      | mark r 1.0 a; mark r 1.1 a | | r@2.0 |
       | longer quarantine by a repeated mark | mark r 1.0 a; mark r 2.0 b; mark r 500.0 b | r@601.9 | r@602.1 |
 
--- a/features/steps/datapath_core_steps.py
+++ b/features/steps/datapath_core_steps.py
@@ -82,7 +82,7 @@
                 context.effects += guard.record_answer(request)
             case "mark":
                 crash_id = rest[1] if len(rest) > 1 else "gateway-2/start-1/1"
-                mark = CrashMark(request, crash_id)
+                mark = CrashMark(request, crash_id, *rest[2:])
                 guard.receive_mark(mark, float(rest[0]), protection)
             case "clear":
                 now = float(rest[0]) if rest else 0.0
--- a/packages/banyanshelf-core/src/banyanshelf_core/crash_records.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_records.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -23,6 +24,9 @@
 MAX_REPEATED_FINGERPRINTS = 24
 # The quarantine does not grow beyond 16 times its first length.
 MAX_DOUBLINGS = 4
+# Members notice one crash of an upstream within this time of each other; an upstream
+# takes longer to start again.
+SAME_CRASH_S = 1.0
 
 
 class QuarantineRules(NamedTuple):
@@ -74,8 +78,22 @@
     crash_by_id: dict[str, _Crash] = field(default_factory=dict)
 
     def count(self) -> int:
-        """Return the number of crashes that have not been cleared."""
-        return sum(not each.is_cleared for each in self.crash_by_id.values())
+        """Return the number of crashes that have not been cleared.
+
+        What several members have noticed at one upstream is one crash.
+        """
+        counted_at: dict[UpstreamId, float] = {}
+        count = 0
+        for crash in sorted(
+            self.crash_by_id.values(), key=lambda each: each.noticed_at
+        ):
+            if crash.is_cleared:
+                continue
+            earlier = counted_at.get(crash.upstream, -math.inf)
+            if not crash.upstream or crash.noticed_at - earlier > SAME_CRASH_S:
+                counted_at[crash.upstream] = crash.noticed_at
+                count += 1
+        return count
 
     def last_noticed_at(self) -> float:
         """Return the time of the newest crash."""
