Ignore odd entries of upstreams one by one

What callers saw: not seen here; reported by other operators of such systems: an odd entry of another writer ended processes or stopped them from following.

Cause: a field that is skipped can be nested deeper than the decoder goes. That raises RecursionError, which is no decoding error: the other changes of the same batch were lost. The product's host list was dropped as a whole for one entry that it could not read.

--- a/features/daemon/any_datagram.feature
+++ b/features/daemon/any_datagram.feature
@@ -17,3 +17,4 @@
       | a negative number of seconds  |
       | a time that is no number      |
       | an unknown kind of ended call |
+      | a further field nested too deeply |
--- a/features/platform/records.feature
+++ b/features/platform/records.feature
@@ -18,8 +18,35 @@
       | a name as its port      | entry["address"] = "10.0.0.1:http"     |
       | a port out of range     | entry["address"] = "10.0.0.1:70000"    |
       | a host name             | entry["address"] = "desk.example:80"   |
+      | port 0                  | entry["address"] = "10.0.0.1:0"        |
+      | a signed port           | entry["address"] = "10.0.0.1:+80"      |
+      | a port of 5,000 digits  | entry["address"] = "10.0.0.1:" + "8" * 5000 |
+      | too many slots          | entry["information"]["slots"] = 10**18 |
+      | a start in the far future | entry["born"] = 2**62                |
+      | a start before 1970     | entry["born"] = -1                     |
       | an endless warm-up      | entry["status"]["warmupLeftMs"] = 1e300 |
 
+  # Guards against an entry that stops a gateway from following the others.
+  Scenario Outline: An entry with <fault> in its bytes gives no upstream
+    Then the upstream entry with the bytes "<found>" in place of "<given>" is refused
+
+    Examples:
+      | fault                  | given   | found                 |
+      | a list nested deeply    | BORN}        | BORN, 'x': DEEP_LIST}   |
+      | an object nested deeply | BORN}        | BORN, 'x': DEEP_OBJECT} |
+      | slots of 400 digits     | 'slots':SLOTS | 'slots':HUGE           |
+      | a start of 400 digits   | BORN         | HUGE                    |
+      | a start beyond floats   | BORN         | 1e400                   |
+
+  Scenario Outline: An upstream id with <fault> gives no upstream
+    Then the upstream entry with the id "<id>" is refused
+
+    Examples:
+      | fault          | id          |
+      | a line break   | i-1\r\nX: y |
+      | a space        | i 1         |
+      | another script | i-é         |
+
   Scenario: An entry gives the upstream
     Then the upstream entry is decoded with state "live", incarnation 1700 and 2500 ms cold
     And the upstream entry of a draining server has state "leaving"
--- a/features/steps/any_datagram_steps.py
+++ b/features/steps/any_datagram_steps.py
@@ -131,6 +131,10 @@
             update[7] = math.nan
         case "an unknown kind of ended call":
             update[8] = [[1, "odd", 5]]
+        case "a further field nested too deeply":
+            # Lists of one element, within the greatest size of a datagram
+            nested = b"\x91" * 60_000 + b"\x01"
+            return b"\x97" + msgspec.msgpack.encode(greeting)[1:] + nested
     is_update = damage.endswith(("count", "seconds", "number", "call"))
     return msgspec.msgpack.encode(update if is_update else greeting)
 
--- a/features/steps/platform_record_steps.py
+++ b/features/steps/platform_record_steps.py
@@ -69,6 +69,44 @@
     return decode_configuration(msgspec.json.encode(record), RetryRules(0.2, 1))
 
 
+DEPTH = 100_000
+ODD_BYTES = {
+    "DEEP_LIST": "[" * DEPTH + "]" * DEPTH,
+    "DEEP_OBJECT": '{"a":' * DEPTH + "1" + "}" * DEPTH,
+    "HUGE": "1" + "0" * 400,
+    "SLOTS": "3",
+    "BORN": "1700",
+}
+
+
+def assert_refused(key, content):
+    try:
+        found = decode_upstream(key, content)
+    except StoreRecordError:
+        return
+    raise AssertionError(found)
+
+
+@then(
+    'the upstream entry with the bytes "{found}" in place of "{given}" is refused',
+)
+def step_entry_bytes_refused(context, found, given):
+    found, given = found.replace("'", '"'), given.replace("'", '"')
+    for name, value in ODD_BYTES.items():
+        found, given = found.replace(name, value), given.replace(name, value)
+    content = msgspec.json.encode(ENTRY).decode()
+    head, separator, tail = content.rpartition(given)
+    assert separator, content
+    decode_upstream("servers/i-1", content.encode())
+    assert_refused("servers/i-1", (head + found + tail).encode())
+
+
+@then('the upstream entry with the id "{text}" is refused')
+def step_id_refused(context, text):
+    key = "servers/" + text.encode("latin-1").decode("unicode_escape")
+    assert_refused(key, msgspec.json.encode(ENTRY))
+
+
 @then('the upstream entry changed by "{change}" is refused')
 def step_entry_refused(context, change):
     record = changed("entry", ENTRY, change)
--- a/packages/banyanshelf-core/src/banyanshelf_core/store_records.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/store_records.py
@@ -18,6 +18,9 @@
 CONFIG_HEAD_KEY = "config/head"
 MEMBERS_PREFIX = "members/"
 MAX_PART_BYTES = 512 * 1024
+# What decoding JSON of another writer can raise; fields that are skipped can be nested
+# too deeply.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 class ConfigHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -79,7 +82,7 @@
     """Decode a record; raises :class:`StoreRecordError`."""
     try:
         return msgspec.json.decode(content, type=record_class)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise StoreRecordError(
             f"store record is no {record_class.__name__} ({error}); "
             "check that nothing else writes below the store prefix",
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -5,13 +5,14 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from logbook import Logger
 from twisted.internet.defer import CancelledError, Deferred
 
 from banyanshelf_core.backoff import Backoff
+from banyanshelf_core.errors import SettingsError
 from banyanshelf_core.messages import UpstreamNotice
 from banyanshelf_core.model import (
     MemberId,
@@ -20,6 +21,7 @@
     UpstreamId,
     UpstreamState,
 )
+from banyanshelf_core.store_records import DECODE_ERRORS
 from banyanshelf_daemon.background import BackgroundTasks
 from banyanshelf_daemon.http_client import (
     DiscardedBody,
@@ -28,7 +30,7 @@
     read_body,
 )
 from banyanshelf_daemon.interfaces import PeerNetwork
-from banyanshelf_daemon.settings import Settings
+from banyanshelf_daemon.settings import Address, Settings
 
 LONG_POLL_WAIT_S = 25
 RESPONSE_TIMEOUT_S = LONG_POLL_WAIT_S + 5
@@ -39,6 +41,9 @@
 MIN_POLL_INTERVAL_S = 1.0
 # 7,700 upstreams take about 1 MB.
 MAX_LIST_BYTES = 16 * 1024 * 1024
+# More slots mean that the entry is damaged.
+MAX_SLOTS = 100_000
+PRINTABLE_ID = "^[!-~]+$"
 
 log = Logger("host_list")
 
@@ -46,11 +51,11 @@
 class Host(msgspec.Struct, frozen=True):
     """One entry of the host list."""
 
-    id: str
+    id: Annotated[str, msgspec.Meta(pattern=PRINTABLE_ID)]
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: UpstreamState = UpstreamState.LIVE
 
     def to_upstream(self) -> Upstream:
@@ -59,9 +64,26 @@
 
 
 class HostList(msgspec.Struct, frozen=True):
-    """The decoded body of a host list response."""
+    """The body of a host list response; each entry is decoded by itself."""
 
-    hosts: list[Host]
+    hosts: list[msgspec.Raw]
+
+
+def decode_host_list(content: bytes) -> list[Upstream]:
+    """Return the upstreams of a host list, without the entries that cannot be used.
+
+    Raises one of ``DECODE_ERRORS`` if the list itself cannot be read.
+    """
+    upstreams = []
+    for entry in msgspec.json.decode(content, type=HostList).hosts:
+        try:
+            host = msgspec.json.decode(entry, type=Host)
+            Address.of_server(host.address)
+        except (*DECODE_ERRORS, SettingsError) as error:
+            log.warning("host list entry ignored: {}", error)
+            continue
+        upstreams.append(host.to_upstream())
+    return upstreams
 
 
 @dataclass(slots=True)
@@ -237,12 +259,12 @@
         (version,) = response.headers.getRawHeaders("Host-List-Version") or [""]
         if version and version == self._version:
             return False
-        self._apply(msgspec.json.decode(content, type=HostList))
+        self._apply(decode_host_list(content))
         self._version = version
         return True
 
-    def _apply(self, host_list: HostList) -> None:
-        listed = {each.id: each.to_upstream() for each in host_list.hosts}
+    def _apply(self, upstreams: list[Upstream]) -> None:
+        listed = {each.id: each for each in upstreams}
         for upstream_id in list(self._notices):
             host = listed.get(upstream_id)
             dropped = host is None and upstream_id in self._listed
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
@@ -19,6 +19,10 @@
 ENVIRONMENT_PREFIX = "BANYANSHELF_"
 
 
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+
+
 class Address(NamedTuple):
     """An IP address and a port."""
 
@@ -36,6 +40,17 @@
                 f"{value!r} is not an IP address with a port, such as 127.0.0.1:8080",
             ) from error
 
+    @classmethod
+    def of_server(cls, value: str) -> Address:
+        """Parse an address that connections are made to, so that port 0 is none.
+
+        Raises :class:`SettingsError`.
+        """
+        address = cls.from_string(value)
+        if not address.port:
+            raise SettingsError(f"{value!r} has port 0; give the server's port")
+        return address
+
     def __str__(self) -> str:
         """Return ``host:port`` in the format that :meth:`from_string` parses."""
         return (
@@ -46,8 +61,11 @@
 
 
 def _parse_port(value: str) -> int:
+    # int() also accepts signs, underscores, spaces and digits of other scripts.
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_PORT_DIGITS):
+        raise ValueError("the port is no decimal number")
     port = int(value)
-    if not 0 <= port <= 65535:
+    if port > MAX_PORT:
         raise ValueError("port out of range")
     return port
 
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
@@ -31,8 +31,8 @@
     try:
         datagram = _decoder.decode(content)
         _check_addresses(datagram)
-    except ValueError as error:
-        # Includes the errors of msgspec.
+    except (ValueError, RecursionError) as error:
+        # Includes the errors of msgspec; an unknown field can be nested too deeply.
         raise CodecError(f"malformed datagram ({error}); it is ignored") from error
     return datagram
 
