Take no sample of work from a call that began at an earlier incarnation

What callers saw: nothing yet; found by a scenario in which upstreams start again under their ids while calls are in progress.

Cause: the work of a call is the difference of two progress values of its upstream. With an answer that is handled after the upstream's new entry, the second value is that of the new incarnation, and the difference negative. The estimate of the work became negative, no upstream was within 3 % of the fastest, and each further call ended with an IndexError.

Change: a negative difference gives no sample.

Evidence: the new scenario of placement.feature ends with that error without the change.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -118,6 +118,11 @@
     When the placement sees "wait 30"
     Then calls with 200 ms left go to "a1 a2"
 
+  # Guards against a negative time of work, with which no upstream could be chosen.
+  Scenario: A call that ends after its upstream was started again gives no sample
+    When the placement sees "wait 5; begin a1; restart a1; end a1; wait 5; begin a1; restart a1; end a1"
+    Then a call with 400 ms left is expected to take 40 to 110 ms
+
   # Guards against a restarted upstream that is judged by failures before its restart.
   Scenario: A new incarnation starts without a history
     When the placement sees "fail a1 refused; restart a1"
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -116,7 +116,8 @@
 
 
 def on_restart(context, name):
-    context.upstreams[name] = context.upstreams[name]._replace(incarnation=9)
+    upstream = context.upstreams[name]
+    context.upstreams[name] = upstream._replace(incarnation=upstream.incarnation + 1)
     context.selector.set_upstreams(context.now, context.upstreams)
 
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -220,10 +220,13 @@
             return
         if sample.kind == AnswerKind.ANSWERED:
             slots = load.upstream.slots
-            if now - sample.service_time_us / 1e6 >= load.cold_until:
+            work_s = load.advance(now, self.pace.mean_rate) - progress_s
+            # A negative value means that the call began at an earlier incarnation.
+            is_cold = now - sample.service_time_us / 1e6 < load.cold_until
+            if work_s >= 0 and not is_cold:
                 self.estimate.add_sample(
                     work_class,
-                    load.advance(now, self.pace.mean_rate) - progress_s,
+                    work_s,
                     nearly_full=load.in_flight(now) > NEARLY_FULL_SHARE * slots,
                 )
         load.own_calls = max(0, load.own_calls - 1)
