Heed what upstreams of the platform say of themselves in their answers

Cause: an upstream says in all its answers that it leaves, and may ask for a pause when it turns a request away. Gateways knew departures only from the store, which can be late or down, and placed calls and health probes at an upstream in a pause by its load. A reported departure was also taken back by any change of the entry.

Change: both are read from the head of every answer to calls and health probes, but not from one of another request, instance or incarnation. Each gateway keeps them for itself, per incarnation, and checks by them what an aggregator chooses; the zone is told by one datagram. In a pause of all upstreams callers are refused at once, with the end of the first pause spread over a quarter of it. Retry-After may have a fraction or be a date, up to 300 s; what cannot be read is ignored with a log line. A refusal passes the upstream's fraction on.

--- a/features/platform/store_view.feature
+++ b/features/platform/store_view.feature
@@ -270,3 +270,26 @@
     And the store writes configuration 4
     And 0.6 s passes
     Then the gateway has configuration 4 and uses "i-1"
+
+  # Guards against an entry that takes back what the upstream has said of itself.
+  Scenario Outline: An upstream that <source> that it leaves is not used until it starts again
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When <event>
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store writes upstream "i-2" with 4 slots
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store removes upstream "i-2"
+    And 1 s passes
+    And the store writes upstreams "i-2"
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store writes upstream "i-2" with the start 1800
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+
+    Examples:
+      | source              | event                                        |
+      | states              | upstream "i-2" states that it leaves         |
+      | has told another gateway | another gateway hears that upstream "i-2" leaves |
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -82,6 +82,7 @@
     def __init__(self, upstreams):
         self.upstreams = upstreams
         self.requests, self.released, self.reports = [], [], []
+        self.pauses = []
         self.is_holding_back = False
         self.held = []
         self.refusal = None
@@ -106,6 +107,9 @@
     def release(self, permit, sample):
         self.released.append(str(sample.kind))
 
+    def note_pause(self, upstream, pause_s):
+        self.pauses.append((upstream.id, round(pause_s, 3)))
+
     def note_load_report(self, upstream_id, report):
         self.reports.append((upstream_id, report.running, report.slots))
 
@@ -158,6 +162,9 @@
         self.collaborators.members_by_id.return_value = {
             str(i): Member(str(i), "127.0.0.1:1", "Huye", 1) for i in range(members)
         }
+        self.collaborators.upstreams_by_id.return_value = {
+            each.id: each for each in self.upstreams
+        }
         self.log_stream = io.BytesIO()
         self.log = DecisionLog(self.reactor, "info", self.log_stream)
         self.handler = CallHandler(
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -396,6 +396,28 @@
     context.directory.note_peer_store_contact(seconds)
 
 
+@when('upstream "{name}" states that it leaves')
+def step_stated_leaving(context, name):
+    context.directory.report_leaving(name, "draining")
+
+
+@when('another gateway hears that upstream "{name}" leaves')
+def step_peer_leaving(context, name):
+    listed = context.directory.upstreams_by_id("s")
+    context.directory.note_peer_leaving(listed[name])
+
+
+@when('the store writes upstream "{name}" with {count:d} slots')
+def step_write_slots(context, name, count):
+    information = ENTRY["information"] | {"slots": count}
+    write_upstream(context, name, information=information)
+
+
+@when('the store writes upstream "{name}" with the start {born:d}')
+def step_write_start(context, name, born):
+    write_upstream(context, name, born=born)
+
+
 @when('another server answers at the address of "{name}"')
 def step_misdirected(context, name):
     context.directory.report_leaving(name, "another instance answered")
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -206,6 +206,21 @@
     wants_answer: bool
 
 
+class UpstreamStatement(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """What an upstream has said of itself in an answer to the sender.
+
+    It concerns one incarnation: that the upstream is leaving, or that it wants no
+    requests for ``pause_s``.
+    """
+
+    sender: MemberId
+    service: ServiceName
+    upstream: UpstreamId
+    incarnation: int
+    is_leaving: bool
+    pause_s: Seconds = 0.0
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -219,4 +234,5 @@
     | LimitReply
     | DepartureNotice
     | CrashDigest
+    | UpstreamStatement
 )
--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -48,6 +48,10 @@
     """A store record cannot be read or fails its digest check."""
 
 
+class RetryAfterError(BanyanshelfError):
+    """An upstream states a time to wait that cannot be read."""
+
+
 class RequestLimitError(BanyanshelfError):
     """A request limit in an upstream's answer cannot be read; it is ignored."""
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -65,6 +65,8 @@
 MIN_RETRY_AFTER_S = 0.02
 # With no usable upstream, the next health probe may readmit one.
 NO_UPSTREAM_RETRY_AFTER_S = 0.25
+# Callers that are refused in a pause come back over this share of it after its end.
+MAX_RETURN_SPREAD = 0.25
 
 _FAILED = frozenset({AnswerKind.ERROR, AnswerKind.CUT, AnswerKind.TIMEOUT})
 
@@ -161,18 +163,23 @@
         self, now: float, request: PlacementRequest
     ) -> Refused:
         """Refuse a call until the first upstream takes a request again."""
-        limited = [
-            load.limited_until
+        waiting = [
+            (max(load.limited_until, load.paused_until), load.is_paused(now))
             for upstream_id, load in self.loads_by_id.items()
-            if load.is_limited(now)
+            if (load.is_limited(now) or load.is_paused(now))
             and upstream_id not in request.excluded
             and load.upstream.state is UpstreamState.LIVE
             and not load.is_ejected(now)
         ]
-        if not limited:
+        if not waiting:
             return Refused("no upstream is usable", NO_UPSTREAM_RETRY_AFTER_S)
-        wait_s = max(MIN_RETRY_AFTER_S, min(limited) - now)
-        return Refused("the request limits of the upstreams are used up", wait_s)
+        first, is_paused = min(waiting)
+        wait_s = max(MIN_RETRY_AFTER_S, first - now)
+        if not is_paused:
+            return Refused("the request limits of the upstreams are used up", wait_s)
+        # All callers would come back at the end of the pause otherwise.
+        wait_s *= 1 + self._rng.uniform(0.0, MAX_RETURN_SPREAD)
+        return Refused("the upstreams want no requests for some time", wait_s)
 
     def expected_s(
         self, now: float, load: UpstreamLoad, request: PlacementRequest
@@ -335,7 +342,7 @@
         upstream = load.upstream
         if upstream.state is not UpstreamState.LIVE or load.is_ejected(now):
             return False
-        if load.is_limited(now):
+        if load.is_limited(now) or load.is_paused(now):
             return False
         return load.in_flight(now) < upstream.slots + MAX_QUEUED_CALLS
 
@@ -345,7 +352,8 @@
         for load in self.loads_by_id.values():
             upstream = load.upstream
             is_live = upstream.state is UpstreamState.LIVE and not load.is_ejected(now)
-            is_usable = is_live and not load.is_limited(now)
+            is_held_back = load.is_limited(now) or load.is_paused(now)
+            is_usable = is_live and not is_held_back
             if is_usable and upstream.zone == self._zone:
                 used += min(upstream.slots, load.in_flight(now))
                 slots += upstream.slots
@@ -420,7 +428,7 @@
     """
     due = []
     for upstream_id, load in loads.items():
-        if load.upstream.state is not UpstreamState.LIVE:
+        if load.upstream.state is not UpstreamState.LIVE or load.is_paused(now):
             continue
         if load.needs_probe:
             if now >= load.ejected_until:
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -29,7 +29,7 @@
     ``own_calls`` counts this gateway's calls in progress, ``calls_by_member`` those of
     the gateways that share their counts. ``rate`` is the service rate of the last
     report, 1 being normal. Until ``limited_until``, the upstream takes no request, as
-    its stated limit is used up.
+    its stated limit is used up; until ``paused_until``, it wants none.
     """
 
     upstream: Upstream
@@ -45,6 +45,7 @@
     rate: float = 1.0
     stated_limit: StatedLimit = NO_STATEMENT
     limited_until: float = -math.inf
+    paused_until: float = -math.inf
     _progress_s: float = 0.0
     _progress_at: float = 0.0
     _unattributed: float = 0.0
@@ -93,6 +94,10 @@
         """Whether the request limit of the upstream is used up."""
         return now < self.limited_until
 
+    def is_paused(self, now: float) -> bool:
+        """Whether the upstream has asked for no requests for some time."""
+        return now < self.paused_until
+
     def note_limit(self, stated: StatedLimit) -> bool:
         """Record what the upstream states; returns whether its limit has changed.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -232,7 +232,7 @@
     ) -> None:
         self.result: Deferred[bool] = Deferred()
         self._services = services
-        self._upstream_id = upstream.id
+        self._upstream = upstream
         self._status = 0
         self._request = request
         self._connection: UpstreamConnection | None = None
@@ -251,12 +251,12 @@
             )
 
     def answer_begun(self, head: AnswerHead) -> None:
-        """Read the status and the load report of an answer."""
+        """Read the status and what the answer says of its upstream."""
         self._status = head.status
-        if self._services.dialect.answered_by(head) not in (None, self._upstream_id):
+        if self._services.dialect.answered_by(head) not in (None, self._upstream.id):
             self._status = 0
             return
-        self._services.note_load(self._upstream_id, head)
+        self._services.head_received(self._upstream, head)
 
     def answer_data(self, data: bytes) -> None:
         """Discard a part of the body."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -4,18 +4,20 @@
 
 import math
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
 from banyanshelf_core.caller_waits import CallerWaitEstimator
-from banyanshelf_core.errors import RequestLimitError
+from banyanshelf_core.errors import RequestLimitError, RetryAfterError
 from banyanshelf_core.model import Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
+from banyanshelf_core.retry_after import parse_retry_after
 from banyanshelf_core.text import Protection, Service
 from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, NativeDialect
-from banyanshelf_daemon.http_message import AnswerHead
+from banyanshelf_daemon.http_message import Answer, AnswerHead
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ClaimService,
@@ -100,6 +102,8 @@
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
+        self._note_pause = getattr(permits, "note_pause", None)
+        self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
         directory.on_upstreams_change(self._drop_unknown_pools)
@@ -146,26 +150,58 @@
         self.metrics.count("signal.cut")
         self.crashes.record_cut(upstream_id, fingerprint, request_id)
 
-    def attempt_head_received(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
-        """Read the load and state signals in the head of an answer."""
-        self.note_load(upstream_id, head)
+    def head_received(self, upstream: Upstream, head: AnswerHead) -> None:
+        """Read what the head of an answer to a call or a probe says of its upstream.
+
+        ``upstream`` is the one that the request was sent to. If it has been started
+        again since, the answer says nothing of its present incarnation.
+        """
+        upstream_id = upstream.id
+        listed = self._directory.upstreams_by_id(upstream.service).get(upstream_id)
+        if listed is not None and listed.incarnation != upstream.incarnation:
+            self.metrics.count("signal.outdated")
+            return
+        if self.dialect.is_misdirected(head):
+            self.metrics.count("signal.misdirected")
+            self._directory.report_leaving(upstream_id, "another instance answered")
+            return
+        self._note_limit(upstream_id, head)
+        self._note_load(upstream_id, head)
+        self._read_pause(upstream, head)
         if self.dialect.is_draining(head):
             self.metrics.count("signal.draining")
             self._directory.report_leaving(upstream_id, "draining")
-        elif self.dialect.is_misdirected(head):
-            self.metrics.count("signal.misdirected")
-            self._directory.report_leaving(upstream_id, "another instance answered")
 
-    def note_load(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
-        """Pass the request limit and the load report of an answer on."""
-        if not self.dialect.is_misdirected(head):
-            self._note_limit(upstream_id, head)
+    def _note_load(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
         if self._note_load_report is None:
             return
         report = self.dialect.load_report(head)
         if report is not None:
             self._note_load_report(upstream_id, report)
 
+    def _read_pause(self, upstream: Upstream, head: AnswerHead) -> None:
+        pause_s = self.retry_after_s(head, upstream.id)
+        if pause_s:
+            self.metrics.count("signal.paused")
+            if self._note_pause is not None:
+                self._note_pause(upstream, pause_s)
+
+    def retry_after_s(
+        self, head: Answer | AnswerHead, upstream_id: UpstreamId
+    ) -> float | None:
+        """Return the readable ``Retry-After`` of a refusal, in seconds."""
+        value = self.dialect.retry_after(head)
+        if value is None:
+            return None
+        try:
+            return parse_retry_after(value, self._unix_time())
+        except RetryAfterError as error:
+            self.metrics.count("signal.malformed_retry_after")
+            self.log.warning(
+                "retry-after ignored", upstream=upstream_id, detail=str(error)
+            )
+            return None
+
     def _note_limit(self, upstream_id: UpstreamId, head: AnswerHead) -> None:
         if self._note_request_limit is None:
             return
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -108,6 +108,9 @@
         Raises :class:`RequestLimitError` if it cannot be read.
         """
 
+    def retry_after(self, head: Answer | AnswerHead) -> bytes | None:
+        """Return for how long the upstream wants no requests, as it states it."""
+
     def answered_by(self, head: AnswerHead) -> UpstreamId | None:
         """Return the id of the upstream that answered, if the answer states it."""
 
@@ -203,6 +206,10 @@
         value = header_value(head.headers, b"upstream-request-limit")
         return None if value is None else parse_request_limit(value)
 
+    def retry_after(self, head: Answer | AnswerHead) -> bytes | None:
+        """Read ``Retry-After`` of a 503."""
+        return refusal_retry_after(head)
+
     def answered_by(self, head: AnswerHead) -> UpstreamId | None:
         """Return None, as answers do not carry the id of their upstream."""
 
@@ -223,6 +230,11 @@
         )
 
 
+def refusal_retry_after(head: Answer | AnswerHead) -> bytes | None:
+    """Return the value of ``Retry-After`` if the answer is a 503 that has one."""
+    return header_value(head.headers, b"retry-after") if head.status == 503 else None
+
+
 def header_number(values: dict[bytes, bytes], name: bytes) -> int | None:
     """Return a decimal header value; raises :class:`RequestError` if malformed."""
     value = values.get(name)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
@@ -9,7 +9,13 @@
 
 from banyanshelf_core.datagrams import ProbeRequest
 from banyanshelf_core.hashing import rank_members
-from banyanshelf_core.model import AnswerKind, MemberId, Upstream, UpstreamId
+from banyanshelf_core.model import (
+    AnswerKind,
+    MemberId,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+)
 from banyanshelf_core.placement.choice import PlacementSelector, due_probes
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_daemon.gossip_link import GossipLink
@@ -94,7 +100,11 @@
             selector = self._loads.selector_for(upstream_id)
             if selector is None or upstream_id in self._probing:
                 continue
-            self.probe_upstream(selector, selector.loads_by_id[upstream_id].upstream)
+            load = selector.loads_by_id[upstream_id]
+            # The aggregator may not know yet what the upstream has told this gateway.
+            is_live = load.upstream.state is UpstreamState.LIVE
+            if is_live and not load.is_paused(self._reactor.seconds()):
+                self.probe_upstream(selector, load.upstream)
 
     def _is_prober(self, upstream_id: UpstreamId, upstream: Upstream) -> bool:
         """Whether this gateway probes an upstream on behalf of its zone."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -19,6 +19,8 @@
 
 # A caller that tries again is sent to another gateway by then.
 SHUTDOWN_RETRY_AFTER_S = 0.1
+# Told to callers if nothing better is known.
+DEFAULT_RETRY_AFTER_S = 1.0
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
 # gateway, which has already used up its retries.
 RELAYED_PROXY_STATUS = f"{PROXY_NAME}; error=".encode()
@@ -75,7 +77,7 @@
 
     def attempt_head_received(self, attempt: Attempt, head: AnswerHead) -> None:
         """Read the load and state signals in the head of an answer."""
-        self.services.attempt_head_received(attempt.permit.upstream.id, head)
+        self.services.head_received(attempt.permit.upstream, head)
 
     def attempt_answered(self, attempt: Attempt, answer: Answer) -> None:
         """Handle a complete answer: forward it, or retry after an error."""
@@ -256,7 +258,7 @@
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
             return
-        retry_after_s = 1.0
+        retry_after_s = DEFAULT_RETRY_AFTER_S
         if isinstance(failure.value, NotAdmittedError):
             retry_after_s = failure.value.retry_after_s
         self.finish_problem(
@@ -394,13 +396,12 @@
         if not self.says_not_run(answer):
             self.finish(answer)
             return
-        value = header_value(answer.headers, b"retry-after")
-        retry_after_s = float(value) if value and value.isdigit() else 1.0
+        retry_after_s = self.services.retry_after_s(answer, "")
         self.finish_problem(
             503,
             "the upstream did not run the request",
             "destination_unavailable",
-            retry_after_s,
+            DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
         )
 
     def _left_quarantine_s(self) -> float | None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
@@ -9,10 +9,11 @@
 from logbook import Logger
 
 from banyanshelf_core.datagrams import LimitRow, ReportRow
-from banyanshelf_core.model import LoadReport, ServiceName, UpstreamId
+from banyanshelf_core.model import LoadReport, ServiceName, Upstream, UpstreamId
 from banyanshelf_core.placement.choice import PlacementSelector
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 from banyanshelf_core.request_limit import StatedLimit, describe_limit
+from banyanshelf_core.retry_after import UpstreamPauses
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ConfigurationSource,
@@ -48,6 +49,8 @@
         self.selector_by_service: dict[ServiceName, PlacementSelector] = {}
         self._service_by_upstream: dict[UpstreamId, ServiceName] = {}
         self._active_until_by_service: dict[ServiceName, float] = {}
+        # An entry that is missing for some time takes the load with it, not the pause.
+        self._pauses = UpstreamPauses()
 
     def start(self) -> None:
         """Subscribe to changes of the configuration text and the upstreams."""
@@ -105,6 +108,17 @@
         log.info(describe_limit(upstream_id, stated))
         return True
 
+    def note_pause(self, upstream: Upstream, until: float) -> bool:
+        """Apply that an upstream wants no requests; return whether that is news."""
+        if not self._pauses.note(upstream, until):
+            return False
+        load = self.load_of(upstream.id)
+        if load is not None:
+            load.paused_until = self._pauses.until(load.upstream)
+        wait_s = until - self._reactor.seconds()
+        log.info("upstream {} wants no requests for {:.3f} s", upstream.id, wait_s)
+        return True
+
     def snapshot(self) -> dict[str, Any]:
         """Return the load figures for the status page."""
         now = self._reactor.seconds()
@@ -117,6 +131,7 @@
                     "failure_share": round(load.failure_share(now), 2),
                     "ejected": load.is_ejected(now),
                     "request_limit": load.stated_limit.per_s,
+                    "paused_s": round(max(0.0, load.paused_until - now), 3),
                 }
                 for upstream_id, load in selector.loads_by_id.items()
             }
@@ -144,8 +159,10 @@
                 self.selector_by_service[name] = selector
             upstreams = self._directory.upstreams_by_id(name)
             selector.set_upstreams(now, upstreams)
-            for upstream_id in upstreams:
+            for upstream_id, upstream in upstreams.items():
                 self._service_by_upstream[upstream_id] = name
+                load = selector.loads_by_id[upstream_id]
+                load.paused_until = self._pauses.until(upstream)
 
     # Updates of other gateways
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -20,6 +20,7 @@
     Member,
     MemberId,
     ServiceName,
+    Upstream,
     UpstreamId,
     UpstreamState,
 )
@@ -119,6 +120,7 @@
         self._reactor = reactor
         self._directory = directory
         self.loads = ServiceLoads(reactor, zone, configuration, directory, rng)
+        self._pause_handlers: list[Callable[[Upstream, float], None]] = []
         self._call_by_number: dict[int, _CallInProgress] = {}
         # When the calls that need a second attempt were last notified
         self._notified_at_by_number: dict[int, float] = {}
@@ -205,7 +207,10 @@
             upstream = self._directory.upstreams_by_id(service_name).get(
                 answer.upstream
             )
-            if upstream is None or upstream.state is not UpstreamState.LIVE:
+            load = selector.loads_by_id.get(answer.upstream)
+            is_paused = load is not None and load.is_paused(self._reactor.seconds())
+            is_live = upstream is not None and upstream.state is UpstreamState.LIVE
+            if upstream is None or not is_live or is_paused:
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
                 return place_here()
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
@@ -317,6 +322,17 @@
         if is_changed or limit is not None:
             self._sharing.publish_limit(upstream_id, stated)
 
+    def note_pause(self, upstream: Upstream, pause_s: float) -> None:
+        """Send an upstream nothing for a time."""
+        until = self._reactor.seconds() + pause_s
+        if self.loads.note_pause(upstream, until):
+            for handler in self._pause_handlers:
+                handler(upstream, pause_s)
+
+    def on_stated_pause(self, handler: Callable[[Upstream, float], None]) -> None:
+        """Call ``handler`` with each pause that an upstream states to this gateway."""
+        self._pause_handlers.append(handler)
+
     def _hedge_after_s(
         self,
         now: float,
