Send calls elsewhere that are given an upstream in a pause

Change: each daemon keeps the pauses that it has heard of. A call whose permit is for such an upstream gives it back and asks for another one; without one it is refused with the time until the first pause ends, spread over a quarter. Second attempts are dropped, and probes are not sent.

The coordinator does not learn of pauses.

--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -30,6 +30,9 @@
       | run of a call whose crashes were noticed while it waited | 3 | hold_permits >> GET /a >> others_mark GET >> grant | answer 503 not_run; sent 0; released cancelled |
       | hedge of a call whose crashes were noticed meanwhile | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> grant >> expect sent 1 >> 200 ok | answer 200 ok; decisions hedge=0 |
       | call left without an end by a refused hedge      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> cut >> grant | answer 503 unknown; sent 1 |
+      | run at an upstream in a pause                    | 2 | POST /a x >> not_run Retry-After: 0.25\r\n >> 200 ok >> POST /a y >> expect sent 3 >> 200 ok >> wait 0.3 >> POST /a z >> 200 ok | sent 4; released shed answered cancelled answered answered |
+      | wait of a caller while all upstreams are in a pause | 1 | POST /a x >> not_run Retry-After: 3\r\n >> POST /a y | answer 503 not_run; sent 1 |
+      | probe of an upstream in a pause                  | 1 | POST /a x >> not_run Retry-After: 3\r\n >> probe_paused | sent 1 |
       | calls to a draining upstream                     | 1 | GET /a >> upstream HTTP/1.1 200 OK\r\nUpstream-State: draining\r\nUpstream-Load: in_flight=2, slots=3\r\nContent-Length: 0\r\n\r\n | leaving desk-1; load [('desk-1', 2, 3)]; header Upstream-Load= |
       | calls to an upstream that refuses connections    | 1 | refuse 1 >> GET /a >> GET /a | leaving desk-1 |
 
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -220,6 +220,13 @@
         handler("other", CrashMark(fingerprint, f"crash-{number}", f"desk-{number}"))
 
 
+def on_probe_paused(context):
+    """Probe the first upstream, which gets nothing while it wants no requests."""
+    result = context.path.handler.probe(context.path.upstreams[0])
+    context.path.settle()
+    assert result.result is False, result
+
+
 def on_link(context):
     """Let the link to another member come up."""
     [call] = context.path.collaborators.on_link_change.call_args_list
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -30,6 +30,7 @@
 from banyanshelf_core.placement.work_estimate import WorkEstimate
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.request_rate import RECHECK_PERIOD_S
+from banyanshelf_core.retry_after import MAX_RETURN_SPREAD
 
 # Upstreams slow down when more than this share of their slots is in use.
 NEARLY_FULL_SHARE = 0.8
@@ -65,8 +66,6 @@
 MIN_RETRY_AFTER_S = 0.02
 # With no usable upstream, the next health probe may readmit one.
 NO_UPSTREAM_RETRY_AFTER_S = 0.25
-# Callers that are refused in a pause come back over this share of it after its end.
-MAX_RETURN_SPREAD = 0.25
 
 _FAILED = frozenset({AnswerKind.ERROR, AnswerKind.CUT, AnswerKind.TIMEOUT})
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/retry_after.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/retry_after.py
@@ -13,6 +13,8 @@
 
 # A longer time is shortened to this, so that a faulty upstream is tried again.
 MAX_PAUSE_S = 300.0
+# Callers that are refused in a pause come back over this share of it after its end.
+MAX_RETURN_SPREAD = 0.25
 # This limit bounds the memory; the pause that was changed longest ago is dropped first.
 MAX_PAUSES = 4096
 _DECIMAL = re.compile(r"\d{1,32}(\.\d{1,32})?")
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
 from banyanshelf_core.errors import RequestError, UpstreamError
@@ -141,9 +141,12 @@
     def probe(self, upstream: Upstream, *, is_repeated: bool = True) -> Deferred[bool]:
         """Send one health probe; the result is whether a 2xx answer came within 1 s.
 
-        The probe budget must have been checked before. With ``is_repeated``, a probe on
-        a kept connection may be sent once more on a new one.
+        None is sent while the upstream wants no requests, and the result is False. The
+        probe budget must have been checked before. With ``is_repeated``, a probe on a
+        kept connection may be sent once more on a new one.
         """
+        if self.services.paused_for_s(upstream):
+            return succeed(False)
         active = self.services.active()
         service = active.text.services.get(upstream.service) if active else None
         path = service.probe_path if service else ""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -74,6 +75,7 @@
         self._stream_head: AnswerHead | None = None
         self._fingerprint: str | None = None
         self._hedge_at: float | None = None
+        self._shortest_pause_s = math.inf
         self._has_logged_no_hedge = False
         self._timer: Any = None
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -12,7 +12,11 @@
 from banyanshelf_core.errors import RequestLimitError, RetryAfterError
 from banyanshelf_core.model import Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
-from banyanshelf_core.retry_after import parse_retry_after
+from banyanshelf_core.retry_after import (
+    MAX_RETURN_SPREAD,
+    UpstreamPauses,
+    parse_retry_after,
+)
 from banyanshelf_core.text import Protection, Service
 from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
@@ -103,6 +107,8 @@
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
         self._note_pause = getattr(permits, "note_pause", None)
+        self._pauses = UpstreamPauses()
+        self._rng = rng
         self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
@@ -181,10 +187,20 @@
 
     def _read_pause(self, upstream: Upstream, head: AnswerHead) -> None:
         pause_s = self.retry_after_s(head, upstream.id)
-        if pause_s:
-            self.metrics.count("signal.paused")
-            if self._note_pause is not None:
-                self._note_pause(upstream, pause_s)
+        if not pause_s:
+            return
+        self.metrics.count("signal.paused")
+        self._pauses.note(upstream, self.now() + pause_s)
+        if self._note_pause is not None:
+            self._note_pause(upstream, pause_s)
+
+    def paused_for_s(self, upstream: Upstream) -> float:
+        """Return for how long an upstream has asked this gateway for no requests."""
+        return max(0.0, self._pauses.until(upstream) - self.now())
+
+    def spread_return_s(self, wait_s: float) -> float:
+        """Return when a caller may return, so that not all do as a pause ends."""
+        return wait_s * (1 + self._rng.uniform(0.0, MAX_RETURN_SPREAD))
 
     def retry_after_s(
         self, head: Answer | AnswerHead, upstream_id: UpstreamId
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from twisted.internet.defer import CancelledError
 from twisted.python.failure import Failure as DeferredFailure
 
@@ -216,6 +218,10 @@
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
+        if self._wants_no_requests(permit):
+            self.release_unused(permit)
+            self.admit()
+            return
         hedge_delay_s = self._service_state.policy.hedge_delay_s(
             idempotent=self.route.idempotent, proposed_s=permit.hedge_after_s
         )
@@ -261,6 +267,8 @@
         retry_after_s = DEFAULT_RETRY_AFTER_S
         if isinstance(failure.value, NotAdmittedError):
             retry_after_s = failure.value.retry_after_s
+        if math.isfinite(self._shortest_pause_s):
+            retry_after_s = self.services.spread_return_s(self._shortest_pause_s)
         self.finish_problem(
             503, str(failure.value), "destination_unavailable", retry_after_s
         )
@@ -358,12 +366,17 @@
         if self.is_over:
             self.release_unused(permit)
             return
+        reason = ""
         if self._left_quarantine_s() is not None:
+            reason = "the request has crashed upstreams"
+        elif self._wants_no_requests(permit):
+            reason = "the upstream wants no requests"
+        if reason:
             self.release_unused(permit)
             self._service_state.policy.refund_hedge(self.now())
-            self._log_no_hedge("the request has crashed upstreams")
+            self._log_no_hedge(reason)
             if not (self._attempts or self._pending_permit):
-                self._is_quarantined()
+                self.admit()
             return
         self.services.metrics.count(self._service_state.hedge_metric)
         self._send(permit, "hedge")
@@ -404,6 +417,25 @@
             DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
         )
 
+    def _wants_no_requests(self, permit: Permit) -> bool:
+        """Whether the upstream of a permit is in a pause; it is not tried again then.
+
+        What chose the upstream may not know of the pause.
+        """
+        upstream = permit.upstream
+        left_s = self.services.paused_for_s(upstream)
+        if not left_s:
+            return False
+        self._used_upstreams |= {upstream.id}
+        self._shortest_pause_s = min(self._shortest_pause_s, left_s)
+        self.services.log.event(
+            "upstream wants no requests",
+            request_id=self.request_id,
+            upstream=upstream.id,
+            left_s=round(left_s, 3),
+        )
+        return True
+
     def _left_quarantine_s(self) -> float | None:
         crashes = self.services.crashes
         if not crashes.guard.has_tracked_requests:
