--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from platform_record_steps import CONFIGURATION, ENTRY
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
+from twisted.internet.task import Clock, deferLater
 
 from banyanshelf_core.errors import StoreUnavailableError
 from banyanshelf_core.model import UpstreamState
@@ -26,6 +26,7 @@
 from banyanshelf_platform.store_view import StoreView
 
 STEP_S = 0.05
+ANSWER_TIME_S = 0.004
 STORE = "127.0.0.9:1"
 MIRROR = "127.0.0.8:1"
 OTHER_RELAY = "127.0.0.7:1"
@@ -40,6 +41,7 @@
 
     ``is_down`` rejects all calls, ``rejected_addresses`` those to some addresses. With
     ``is_hanging``, watches hang, and stale reads too unless ``answers_stale_reads``.
+    ``generation`` counts the restores from a copy.
     """
 
     def __init__(self, clock):
@@ -54,6 +56,18 @@
         self.is_hanging = False
         self.answers_stale_reads = False
         self.mirror_status = None
+        self.generation = 1
+        self.copy = None
+
+    def save_copy(self):
+        self.copy = (self.revision, dict(self.items))
+
+    def restore(self):
+        self.generation += 1
+        self.revision, items = self.copy
+        self.items = dict(items)
+        self.changes = []
+        self.oldest_revision = self.revision
 
     def write(self, key, value):
         self.revision += 1
@@ -80,7 +94,7 @@
 
     def changes_after(self, after):
         events = [each for each in self.changes if each.revision > after]
-        return Changes(events, self.revision, self.mirror_status)
+        return Changes(events, self.revision, self.mirror_status, self.generation)
 
     def cut_watches(self):
         waiting, self.waiting = self.waiting, []
@@ -114,7 +128,7 @@
         self.pages += 1
         store = self.store
         items = list(store.items.values())
-        return Page(items, False, store.revision, store.mirror_status)
+        return Page(items, False, store.revision, store.mirror_status, store.generation)
 
     async def read_stale_revision(self):
         self.check()
@@ -129,7 +143,9 @@
     async def wait_for_changes(self, prefix, revision, wait_s):
         self.check()
         store = self.store
-        if revision < store.oldest_revision:
+        if not store.oldest_revision <= revision <= store.revision:
+            # Without a delay, a client that repeats its call at once stops the clock.
+            await deferLater(store.clock, ANSWER_TIME_S)
             raise HistoryLostError("dropped")
         if store.revision > revision or wait_s <= 0:
             return store.changes_after(revision)
