Send positions with their generation in the datagrams between gateways

Cause: load updates and digests carried a bare revision. After a restore, gateways that had not read the copy yet told the others the higher revision from before it, and these took their replicas for outdated: they read everything again, and excluded the relay that they followed. A digest told the maximum of both.

Change: the datagrams carry the generation too, and positions are compared. How long the store has answered another gateway counts only if that gateway is in the same generation. A greeting, which always told revision 0, tells nothing any more.

The new scenario of the digest needs the field.

--- a/features/core/zone_digest.feature
+++ b/features/core/zone_digest.feature
@@ -72,3 +72,13 @@
     And gateway "g7" stops and then marks a request that crashed an upstream
     And 0.1 s of load updates pass without calls
     Then no gateway has received the mark
+
+  # Guards against full reads of the store by a whole zone because one of its gateways has
+  # missed a restore of the store, and against a contact with the store from before it.
+  Scenario: A digest tells the newest position among two generations of the store
+    When an aggregator hears of these positions
+      | gateway | generation | revision | uninterrupted_s |
+      | g2      | 1          | 150      | 60              |
+      | g3      | 2          | 120      | 3               |
+      | g4      | 2          | 110      | 5               |
+    Then its digest tells revision 120 of generation 2, answered for 5 s
--- a/features/platform/restored_store.feature
+++ b/features/platform/restored_store.feature
@@ -20,3 +20,28 @@
       | a gateway that follows it       |
       | a gateway that follows a relay  |
       | a gateway that knows no relay   |
+
+  # Guards against full reads by every gateway for each datagram from before the restore.
+  Scenario: Positions from before the restore cost no calls
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When the store is copied
+    And the store writes configurations 4 to 8
+    And 1 s passes
+    And the store is down for 2 s and comes back from the copy
+    And 1 s passes
+    And another gateway reports revision 8 of generation 1 for 5 s
+    Then the gateway has made at most 20 calls since the restore
+
+  # Guards against a gateway that stays with a relay from before the restore.
+  Scenario: A gateway whose relay has missed the restore reads the store
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows a relay that has missed each restore
+    When the store is copied
+    And the store writes configurations 4 to 8
+    And 1 s passes
+    And the store comes back from the copy without notice
+    And the store writes configuration 9
+    And another gateway reports the store's revision
+    And 1 s passes
+    Then the gateway has configuration 9 and uses "i-1 i-2"
--- a/features/steps/any_datagram_steps.py
+++ b/features/steps/any_datagram_steps.py
@@ -13,6 +13,7 @@
 from banyanshelf_core.datagrams import Greeting, LoadUpdate
 from banyanshelf_core.errors import CodecError
 from banyanshelf_core.model import Member
+from banyanshelf_core.replica import ORIGIN
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.load_sharing import LoadSharing
 from banyanshelf_wire.datagram import (
@@ -49,7 +50,7 @@
         self.link.transport = self.transport = _Transport()
         self.sink = Sink()
         self.sharing = LoadSharing(
-            self.clock, self.link, self.sink, self.sink, lambda: (1, 1.0)
+            self.clock, self.link, self.sink, self.sink, lambda: (ORIGIN, 1.0)
         )
         self.sharing.start()
 
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -1,7 +1,23 @@
 """Steps for a platform store that comes back from an older copy of itself."""
 
-from behave import then, when
-from platform_store_steps import advance, write_configuration
+from behave import given, then, when
+from platform_store_steps import (
+    MIRROR,
+    advance,
+    step_gateway_with_relay,
+    write_configuration,
+)
+
+from banyanshelf_core.replica import StorePosition
+
+# Gateways send load updates at least this often.
+REPORT_PERIOD_S = 0.5
+
+
+@given("a gateway that follows a relay that has missed each restore")
+def step_gateway_with_outdated_relay(context):
+    context.store.outdated_addresses.add(MIRROR)
+    step_gateway_with_relay(context)
 
 
 @when("the store is copied")
@@ -25,6 +41,22 @@
     context.calls_at_restore = total_calls(context)
 
 
+@when("the store comes back from the copy without notice")
+def step_restore_unnoticed(context):
+    context.store.restore()
+    context.calls_at_restore = total_calls(context)
+
+
+@when(
+    "another gateway reports revision {revision:d} of generation {generation:d} "
+    "for {seconds:g} s"
+)
+def step_report_position(context, revision, generation, seconds):
+    for _ in range(round(seconds / REPORT_PERIOD_S)):
+        context.view.note_position(StorePosition(generation, revision))
+        advance(context, REPORT_PERIOD_S)
+
+
 def total_calls(context):
     return sum(client.calls for client in context.clients.values())
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -42,7 +42,8 @@
 
     ``is_down`` rejects all calls, ``rejected_addresses`` those to some addresses. With
     ``is_hanging``, watches hang, and stale reads too unless ``answers_stale_reads``.
-    ``generation`` counts the restores from a copy.
+    ``generation`` counts the restores from a copy; ``outdated_addresses`` serve the
+    state from before the last one.
     """
 
     def __init__(self, clock):
@@ -59,11 +60,15 @@
         self.mirror_status = None
         self.generation = 1
         self.copy = None
+        self.outdated_addresses = set()
+        self.before_restore = None
 
     def save_copy(self):
         self.copy = (self.revision, dict(self.items))
 
     def restore(self):
+        self.before_restore = copy.copy(self)
+        self.before_restore.waiting = []
         self.generation += 1
         self.revision, items = self.copy
         self.items = dict(items)
@@ -114,11 +119,16 @@
     """A client of the fake store, at the store's address or at a mirror's."""
 
     def __init__(self, store, address):
-        self.store, self.address = store, address
+        self._store, self.address = store, address
         self.calls = 0
         self.pages = 0
         self.stale_reads = 0
 
+    @property
+    def store(self):
+        is_outdated = self.address in self._store.outdated_addresses
+        return (is_outdated and self._store.before_restore) or self._store
+
     def check(self):
         self.calls += 1
         if self.store.is_down or self.address in self.store.rejected_addresses:
@@ -417,7 +427,8 @@
 
 @when("another gateway reports that the store has answered it for {seconds:g} s")
 def step_report_contact(context, seconds):
-    context.directory.note_peer_store_contact(seconds)
+    generation = context.view.replica.position.generation
+    context.directory.note_peer_store_contact(generation, seconds)
 
 
 @when('upstream "{name}" states that it leaves')
--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -9,6 +9,7 @@
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream
+from banyanshelf_core.replica import ORIGIN
 from banyanshelf_daemon.interfaces import PermitRequest
 from banyanshelf_daemon.shared_admission import SharedAdmission
 
@@ -83,7 +84,7 @@
             link,
             random.Random(name),
             lambda upstream, **options: self._probe(name, upstream, **options),
-            lambda: (0, 0.0),
+            lambda: (ORIGIN, 0.0),
         )
         admission.start()
         return admission
--- a/features/steps/simulated_gossip.py
+++ b/features/steps/simulated_gossip.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from banyanshelf_core.model import Member
+from banyanshelf_core.replica import ORIGIN
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.load_sharing import LoadSharing
 
@@ -167,7 +168,7 @@
             identity,
             [f"{host_of(seed)}:7000" for seed in self.seeds],
             random.Random(name),
-            lambda revision, uninterrupted_s: None,
+            lambda position, uninterrupted_s: None,
             capacity,
         )
         link.transport = _Transport(self, name, (host, 7000))
@@ -177,7 +178,7 @@
     def add_sharing(self, name, link):
         """Start the load sharing of a gateway."""
         sink = self.sinks[name] = Sink()
-        sharing = LoadSharing(self.reactor, link, sink, sink, lambda: (0, 0.0))
+        sharing = LoadSharing(self.reactor, link, sink, sink, lambda: (ORIGIN, 0.0))
         sharing.start()
         return sharing
 
--- a/features/steps/zone_digest_steps.py
+++ b/features/steps/zone_digest_steps.py
@@ -7,6 +7,10 @@
 from simulated_gossip import LoadZone
 
 from banyanshelf_core.call_messages import CrashMark
+from banyanshelf_core.datagrams import LoadUpdate
+from banyanshelf_core.model import Member
+from banyanshelf_core.replica import StorePosition
+from banyanshelf_core.zone_digest import DigestBuilder
 
 
 @given("a zone of {count:d} gateways that share {upstreams:d} upstreams")
@@ -121,3 +125,30 @@
         own = sink.own.get(upstream, 0)
         found = sink.others().get(upstream, 0)
         assert own or found == count, (name, sink.others())
+
+
+@when("an aggregator hears of these positions")
+def step_positions(context):
+    builder = context.builder = DigestBuilder(Member("g1", "127.0.0.1:7000", "a", 1))
+    for row in context.table:
+        name = row["gateway"]
+        update = LoadUpdate(
+            name,
+            {},
+            [],
+            {},
+            int(row["revision"]),
+            uninterrupted_s=float(row["uninterrupted_s"]),
+            generation=int(row["generation"]),
+        )
+        builder.add_update(10.0, (name, "127.0.0.1:7000", "a", 1, 1.0), update)
+
+
+@then(
+    "its digest tells revision {revision:d} of generation {generation:d}, "
+    "answered for {seconds:g} s"
+)
+def step_digest(context, revision, generation, seconds):
+    digest = context.builder.build_digest(10.0)
+    expected = (StorePosition(generation, revision), seconds)
+    assert (digest.position, digest.uninterrupted_s) == expected, digest
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from banyanshelf_core.model import AnswerKind, MemberId, ServiceName, UpstreamId
+from banyanshelf_core.replica import StorePosition
 
 # No time in a datagram is longer, in seconds; the bounds also exclude NaN.
 MAX_SECONDS = 1e9
@@ -36,12 +37,13 @@
 
     ``counts`` holds the calls in progress at each upstream whose count has changed, or
     at all upstreams if ``is_full_snapshot``. ``results`` are pairs of upstream and
-    ``AnswerKind``. ``reports`` are the load reports by upstream. ``revision`` is the
-    newest store revision known to the sender, and ``uninterrupted_s`` how long the
-    store has answered the sender without interruption. ``ended_calls`` are ended calls
-    that the receiver had placed. If ``is_full_snapshot``, ``placed_calls`` are the
-    numbers of all such calls that are still in progress. ``limits`` are request limits
-    that upstreams have stated.
+    ``AnswerKind``. ``reports`` are the load reports by upstream. ``revision`` and
+    ``generation`` are the newest position in the store's history that the sender knows,
+    and ``uninterrupted_s`` is how long the store has answered the sender in that
+    generation without interruption. ``ended_calls`` are ended calls that the receiver
+    had placed. If ``is_full_snapshot``, ``placed_calls`` are the numbers of all such
+    calls that are still in progress. ``limits`` are request limits that upstreams have
+    stated.
     """
 
     sender: MemberId
@@ -54,6 +56,12 @@
     ended_calls: list[EndedCall] = []
     placed_calls: list[int] = []
     limits: dict[UpstreamId, LimitRow] = {}
+    generation: Count = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The newest position in the store's history that the sender knows."""
+        return StorePosition(self.generation, self.revision)
 
 
 # Any unit; the bounds exclude NaN, by which members cannot be ranked.
@@ -97,9 +105,10 @@
 
     ``counts`` are the total calls in progress of these gateways, for the upstreams
     whose count has changed and for the others in rotation. ``members`` rotate as well.
-    ``results`` are those of :class:`LoadUpdate`. ``revision`` and ``uninterrupted_s``
-    are the greatest values that the aggregator has received. ``limits`` are those of
-    :class:`LoadUpdate`; the unchanged ones rotate.
+    ``results`` are those of :class:`LoadUpdate`. ``revision`` and ``generation`` are
+    the newest position that the aggregator has received, and ``uninterrupted_s`` the
+    longest time in that generation. ``limits`` are those of :class:`LoadUpdate`; the
+    unchanged ones rotate.
     """
 
     sender: MemberId
@@ -109,6 +118,12 @@
     revision: int
     uninterrupted_s: Seconds = 0.0
     limits: dict[UpstreamId, LimitRow] = {}
+    generation: Count = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The newest position in the store's history that the aggregator knows."""
+        return StorePosition(self.generation, self.revision)
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, tag=5, frozen=True):
--- a/packages/banyanshelf-core/src/banyanshelf_core/zone_digest.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/zone_digest.py
@@ -15,6 +15,7 @@
 
 from banyanshelf_core.datagrams import LimitRow, LoadUpdate, MemberRow, ZoneDigest
 from banyanshelf_core.model import Member, MemberId, UpstreamId
+from banyanshelf_core.replica import ORIGIN, StorePosition
 from banyanshelf_core.request_limit import StatedLimit
 
 # A digest serves as a heartbeat, and as load data for placing calls when the aggregator
@@ -82,7 +83,7 @@
 
     row: MemberRow
     last_seen_at: float
-    revision: int = 0
+    position: StorePosition = ORIGIN
     uninterrupted_s: float = 0.0
     counts: dict[UpstreamId, int] = field(default_factory=dict)
 
@@ -118,10 +119,8 @@
             self._drop(update.sender)
             source = self._source_by_id[update.sender] = _Source(sender, now)
         source.last_seen_at = now
-        source.revision, source.uninterrupted_s = (
-            update.revision,
-            update.uninterrupted_s,
-        )
+        source.position = update.position
+        source.uninterrupted_s = update.uninterrupted_s
         if update.is_full_snapshot:
             for upstream_id in source.counts.keys() - update.counts.keys():
                 self._set_count(source, upstream_id, 0)
@@ -163,15 +162,21 @@
         self._sent_at = now
         share = min(1.0, elapsed_s / REFRESH_PERIOD_S)
         sources = self._source_by_id.values()
+        position = max(each.position for each in sources)
         included = [*self._changed, *self._next_upstreams(share)]
         digest = ZoneDigest(
             self._identity.id,
             {each: self._total_by_upstream.get(each, 0) for each in included},
             self._results,
             self._next_members(share),
-            max(each.revision for each in sources),
-            max(each.uninterrupted_s for each in sources),
+            position.revision,
+            max(
+                each.uninterrupted_s
+                for each in sources
+                if each.position.generation == position.generation
+            ),
             self._next_limits(now, min(1.0, elapsed_s / LIMIT_REFRESH_PERIOD_S)),
+            position.generation,
         )
         self._changed.clear()
         self._results = []
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/gossip_link.py
@@ -21,6 +21,7 @@
 from banyanshelf_core.errors import CodecError
 from banyanshelf_core.gossip import GossipMembers, SendDatagram
 from banyanshelf_core.model import Member, MemberId
+from banyanshelf_core.replica import StorePosition
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.settings import Address
 from banyanshelf_wire.datagram import decode_datagram, encode_datagram
@@ -36,8 +37,9 @@
 class GossipLink(DatagramProtocol):
     """Implements ``MembershipSource`` and the crash marks of ``PeerNetwork``.
 
-    ``on_revision`` is called with the store revision that another gateway has seen and
-    for how many seconds the store has answered that gateway without interruption.
+    ``on_position`` is called with the newest position in the store's history that
+    another gateway knows, and for how many seconds the store has answered that gateway
+    in that generation without interruption.
     """
 
     def __init__(
@@ -46,12 +48,12 @@
         identity: Member,
         seeds: Iterable[str],
         rng: random.Random,
-        on_revision: Callable[[int, float], None],
+        on_position: Callable[[StorePosition, float], None],
         capacity: float = 1.0,
     ) -> None:
         self._reactor = reactor
         self.members = GossipMembers(identity, seeds, rng, capacity)
-        self._on_revision = on_revision
+        self._on_position = on_position
         self._load_handler: Callable[[LoadUpdate], None] | None = None
         self._digest_handler: Callable[[ZoneDigest], None] | None = None
         self._handler_by_type: dict[type, Callable[[Any, str], None]] = {}
@@ -161,7 +163,7 @@
         now = self._reactor.seconds()
         match datagram:
             case LoadUpdate():
-                self._on_revision(datagram.revision, datagram.uninterrupted_s)
+                self._on_position(datagram.position, datagram.uninterrupted_s)
                 is_known = self.members.record_heartbeat(now, datagram.sender)
                 if is_known and self._load_handler is not None:
                     self._load_handler(datagram)
@@ -172,12 +174,11 @@
                         False,
                     )
             case ZoneDigest():
-                self._on_revision(datagram.revision, datagram.uninterrupted_s)
+                self._on_position(datagram.position, datagram.uninterrupted_s)
                 self._run([], self.members.on_digest(now, datagram))
                 if self._digest_handler is not None:
                     self._digest_handler(datagram)
             case Greeting():
-                self._on_revision(datagram.revision, 0.0)
                 effects, is_changed = self.members.on_greeting(now, datagram)
                 self._run(effects, is_changed)
             case CrashNotice():
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
@@ -15,6 +15,7 @@
     ZoneDigest,
 )
 from banyanshelf_core.model import AnswerKind, LoadReport, Member, MemberId, UpstreamId
+from banyanshelf_core.replica import StorePosition
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.zone_digest import (
     DIGEST_PERIOD_S,
@@ -87,8 +88,9 @@
 class LoadSharing:
     """Sends load updates to all gateways of the zone, or to a large zone's aggregator.
 
-    ``store_state`` returns the newest known revision of the store and how long the
-    store has answered this gateway without interruption, in seconds.
+    ``store_state`` returns the newest known position in the store's history, and how
+    long the store has answered this gateway in that generation without interruption, in
+    seconds.
     """
 
     def __init__(
@@ -97,7 +99,7 @@
         gossip: GossipLink,
         sink: LoadSink,
         calls: PlacedCalls,
-        store_state: Callable[[], tuple[int, float]],
+        store_state: Callable[[], tuple[StorePosition, float]],
     ) -> None:
         self._reactor = reactor
         self._gossip = gossip
@@ -203,18 +205,19 @@
         self._send(self._calls.own_counts(), is_full_snapshot=True)
 
     def _send(self, counts: dict[UpstreamId, int], *, is_full_snapshot: bool) -> None:
-        revision, uninterrupted_s = self._store_state()
+        position, uninterrupted_s = self._store_state()
         update = LoadUpdate(
             self._identity.id,
             counts,
             self._results,
             self._reports,
-            revision,
+            position.revision,
             is_full_snapshot,
             uninterrupted_s,
             self._ended,
             self._calls.aggregator_placed_calls() if is_full_snapshot else [],
             self._limit_rows(),
+            position.generation,
         )
         self._counts, self._results, self._reports = {}, [], {}
         self._ended = []
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -34,6 +34,7 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.replica import StorePosition
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.call_placer import CallPlacer, Reservation
@@ -115,7 +116,7 @@
         gossip: GossipLink,
         rng: random.Random,
         probe: ProbeSender,
-        store_state: Callable[[], tuple[int, float]],
+        store_state: Callable[[], tuple[StorePosition, float]],
     ) -> None:
         self._reactor = reactor
         self._directory = directory
