--- a/features/platform/restored_store.feature
+++ b/features/platform/restored_store.feature
@@ -45,3 +45,39 @@
     And another gateway reports the store's revision
     And 1 s passes
     Then the gateway has configuration 9 and uses "i-1 i-2"
+
+  # Guards against dropped upstreams that have registered since the copy: without an outage
+  # that the gateway notices, there was no grace period.
+  Scenario Outline: An upstream that the copy lacks is kept until it can be back at <gateway>
+    Given a store with configuration 3 and upstreams "i-1"
+    And <gateway>
+    When the store is copied
+    And the store writes upstreams "i-2 i-3"
+    And 1 s passes
+    And the store comes back from the copy without notice
+    And the relay reports when the store came back
+    And 1.5 s pass by
+    Then the gateway has configuration 3 and uses "i-1 i-2 i-3"
+    When the store writes upstreams "i-2"
+    And 2.5 s pass by
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+
+    Examples:
+      | gateway                         |
+      | a gateway that follows it       |
+      | a gateway that follows a relay  |
+
+  # Guards against dropped upstreams that have registered since the copy: the contact of
+  # another gateway with the store from before the restore ended the grace period.
+  Scenario: A contact with the store from before the restore does not end the grace period
+    Given a store with configuration 3 and upstreams "i-1"
+    And a gateway that follows it
+    When the store is copied
+    And the store writes upstreams "i-2"
+    And 1 s passes
+    And the store is down for 2 s and comes back from the copy
+    And 1 s passes
+    And generation 1 of the store is reported to have answered another gateway for 60 s
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+    When generation 2 of the store is reported to have answered another gateway for 2.3 s
+    Then the gateway has configuration 3 and uses "i-1"
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -9,6 +9,7 @@
 )
 
 from banyanshelf_core.replica import StorePosition
+from banyanshelf_platform.store_client import MirrorStatus
 
 # Gateways send load updates at least this often.
 REPORT_PERIOD_S = 0.5
@@ -57,6 +58,20 @@
         advance(context, REPORT_PERIOD_S)
 
 
+@when("the relay reports when the store came back")
+def step_relay_reports_restore(context):
+    if context.store.mirror_status is not None:
+        context.store.mirror_status = MirrorStatus(False, None, 0.0)
+
+
+@when(
+    "generation {generation:d} of the store is reported to have answered another "
+    "gateway for {seconds:g} s"
+)
+def step_report_generation(context, generation, seconds):
+    context.directory.note_peer_store_contact(generation, seconds)
+
+
 def total_calls(context):
     return sum(client.calls for client in context.clients.values())
 
