Do not use upstreams again that only the copy of a restored store lists as live

Callers saw: requests sent to upstreams that had drained or left in the seconds that the copy lacks.

Cause: the directory took each entry of the copy for what the upstream says now. An entry that had said 'leaving', or had been removed, was live again.

Change: the directory remembers departures that the store has listed, by incarnation. A live entry of a copy for one of them is hidden until the upstream starts again, writes it anew after a removal, or has kept it for four heartbeats, by which the store would have removed it. Further restores begin that time anew.

A gateway that starts after the restore knows no departure from before it, and relies on what the upstream states in its answers.

--- a/features/platform/restored_store.feature
+++ b/features/platform/restored_store.feature
@@ -81,3 +81,57 @@
     Then the gateway has configuration 3 and uses "i-1 i-2"
     When generation 2 of the store is reported to have answered another gateway for 2.3 s
     Then the gateway has configuration 3 and uses "i-1"
+
+  # Guards against requests to upstreams that have left: the copy lists them as live.
+  Scenario Outline: An upstream that <departure> since the copy is not used again
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And <gateway>
+    When the store is copied
+    And the store <event>
+    And 1 s passes
+    And the store <restore>
+    And 1.5 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store comes back from the copy without notice
+    And 3 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store removes upstream "i-2"
+    And 5 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store writes upstreams "i-2"
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+
+    Examples:
+      | departure | event                        | gateway                        | restore                                       |
+      | drains    | writes draining upstream "i-2" | a gateway that follows it      | comes back from the copy without notice       |
+      | drains    | writes draining upstream "i-2" | a gateway that follows a relay | is down for 2 s and comes back from the copy  |
+      | leaves    | removes upstream "i-2"       | a gateway that follows it      | comes back from the copy without notice       |
+      | leaves    | removes upstream "i-2"       | a gateway that follows a relay | is down for 2 s and comes back from the copy  |
+
+  # Guards against upstreams that are never used again because their entry was missing for
+  # a moment before the restore.
+  Scenario: A removed upstream that the copy lists and that keeps its entry is used again
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When the store is copied
+    And the store removes upstream "i-2"
+    And 1 s passes
+    And the store is down for 2 s and comes back from the copy
+    And 5 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+    When 2 s pass by
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+
+  # Guards against a started upstream that waits for the end of its former life.
+  Scenario: An upstream that has started again since its departure is used at once
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When the store writes upstream "i-2" with the start 1800
+    And the store is copied
+    And the store writes upstream "i-2" with the start 900
+    And the store removes upstream "i-2"
+    And 1 s passes
+    And the store is down for 2 s and comes back from the copy
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1 i-2"
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -1,11 +1,13 @@
 """Steps for a platform store that comes back from an older copy of itself."""
 
 from behave import given, then, when
+from platform_record_steps import ENTRY
 from platform_store_steps import (
     MIRROR,
     advance,
     step_gateway_with_relay,
     write_configuration,
+    write_upstream,
 )
 
 from banyanshelf_core.replica import StorePosition
@@ -72,6 +74,11 @@
     context.directory.note_peer_store_contact(generation, seconds)
 
 
+@when('the store writes draining upstream "{name}"')
+def step_write_draining(context, name):
+    write_upstream(context, name, status=ENTRY["status"] | {"state": "draining"})
+
+
 def total_calls(context):
     return sum(client.calls for client in context.clients.values())
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/known_departures.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/known_departures.py
@@ -30,31 +30,33 @@
     def add_stated(self, upstream: Upstream) -> bool:
         """Record that an upstream leaves; return whether that is news."""
         is_news = not self.includes(upstream)
-        _add(self._stated_by_id, upstream)
+        keep_newest(self._stated_by_id, upstream)
         return is_news
 
     def add_misdirected(self, upstream: Upstream) -> bool:
         """Record that another server has its address; return whether that is news."""
         is_news = not self.includes(upstream)
-        _add(self._misdirected_by_id, upstream)
+        keep_newest(self._misdirected_by_id, upstream)
         return is_news
 
     def includes(self, upstream: Upstream) -> bool:
         """Whether an upstream gets no more work."""
         stated = self._stated_by_id.get(upstream.id)
-        if stated is not None and _is_same_start(stated, upstream):
+        if stated is not None and is_same_start(stated, upstream):
             return True
         return self._misdirected_by_id.get(upstream.id) == upstream
 
 
-def _is_same_start(stated: Upstream, upstream: Upstream) -> bool:
+def is_same_start(stated: Upstream, upstream: Upstream) -> bool:
+    """Whether both are the same incarnation of an upstream with the same id."""
     if stated.incarnation or upstream.incarnation:
         return stated.incarnation == upstream.incarnation
     # Without a known start, another address tells a new one.
     return stated.address == upstream.address
 
 
-def _add(by_id: OrderedDict[UpstreamId, Upstream], upstream: Upstream) -> None:
+def keep_newest(by_id: OrderedDict[UpstreamId, Upstream], upstream: Upstream) -> None:
+    """Add an upstream as the newest one, and drop the oldest beyond the limit."""
     by_id.pop(upstream.id, None)
     by_id[upstream.id] = upstream
     if len(by_id) > MAX_DEPARTURES:
