--- a/features/daemon/cluster_daemons.feature
+++ b/features/daemon/cluster_daemons.feature
@@ -26,6 +26,8 @@
       | An incarnation that cannot be refuted  | 3     | run: 2, huge incarnation reaches: 1, run: 20                                                      | agreement, all roles kept                                               |
       | A frame longer than any message        | 2     | run: 2, huge frame closes: 1                                                                      | no link lost                                                            |
       | A connection without Hello             | 2     | run: 2, no hello closes: 1                                                                        | no link lost                                                            |
+      | The store is restored                  | 3     | run: 2, store is saved, apply, run: 5, store is restored, run: 20, apply, run: 2                  | agreement, version in effect: 3, records in store                       |
+      | A lease is given out again             | 3     | store is saved, run: 5, store is restored, start: 4, run: 100                                           | agreement, version in effect: 1, records in store                       |
 
     Examples: Upstreams
       | failure                                | count | events                                                                                            | checks                                                                  |
--- a/features/steps/simulated_platform.py
+++ b/features/steps/simulated_platform.py
@@ -60,6 +60,13 @@
         self.changed_at = self.reactor.seconds()
         self.store.set_faults({"outage": "off"})
 
+    def store_is_saved(self):
+        self.saved = self.store.keys.snapshot()
+
+    def store_is_restored(self):
+        self.changed_at = self.reactor.seconds()
+        self.store.restore(self.saved)
+
     def store_loses_answers(self, count):
         self.store.set_faults({"lose_answers": count})
 
--- a/features/steps/simulated_store_client.py
+++ b/features/steps/simulated_store_client.py
@@ -17,6 +17,11 @@
         self.client = StoreClient(self.reactor, settings)
         self.events = []
         self.resets = 0
+        self.restores = 0
+        self.client.on_restore(self._on_restore)
+
+    def _on_restore(self):
+        self.restores += 1
 
     def stop_all(self):
         self.client.stop()
@@ -98,5 +103,8 @@
     def dials_between(self, lowest, highest):
         assert lowest <= len(self.reactor.dials) <= highest, len(self.reactor.dials)
 
+    def restores_seen(self, count):
+        assert self.restores == count, self.restores
+
     def reset_once(self):
         assert self.resets == 1
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -69,15 +69,20 @@
         self._store = store
         self._rng = rng
         self._listener = listener
+        self._reactor = reactor
+        self._is_started = False
         self._tasks = BackgroundTasks(reactor)
         self._watches: dict[str, StoreWatch] = {}
+        store.on_restore(self._on_restore)
 
     def start(self) -> None:
         """Read and watch the store until stopped."""
+        self._is_started = True
         self._tasks.supervise(self._read_and_watch, "store records")
 
     def stop(self) -> None:
         """Stop reading and watching."""
+        self._is_started = False
         self._tasks.stop()
         for watch in self._watches.values():
             watch.stop()
@@ -123,9 +128,13 @@
             prefix, revision, on_event, self._on_reset
         )
 
+    def _on_restore(self) -> None:
+        self._reactor.callLater(0, self._on_reset)
+
     def _on_reset(self) -> None:
-        self.stop()
-        self.start()
+        if self._is_started:
+            self.stop()
+            self.start()
 
     def _on_member_event(self, event: WatchEvent) -> None:
         # A deleted record removes no member: only pings tell whether it is alive.
@@ -175,8 +184,11 @@
         self._store = store
         self._rng = rng
         self._identity = identity
+        self._reactor = reactor
+        self._is_started = False
         self._tasks = BackgroundTasks(reactor)
         self._lease = 0
+        store.on_restore(self._on_restore)
 
     @property
     def is_held(self) -> bool:
@@ -185,12 +197,28 @@
 
     def start(self) -> None:
         """Write the record and renew it until stopped."""
+        self._is_started = True
         self._tasks.supervise(self._maintain, "member record")
 
     def stop(self) -> None:
         """Stop renewing the lease; the record is deleted when it expires."""
+        self._is_started = False
         self._tasks.stop()
 
+    def _on_restore(self) -> None:
+        """Write the record under a new lease.
+
+        The store may give the former one out again, to another member.
+        """
+        if self._lease:
+            self._lease = 0
+            self._reactor.callLater(0, self._restart)
+
+    def _restart(self) -> None:
+        if self._is_started:
+            self.stop()
+            self.start()
+
     def revoke(self) -> Deferred[None]:
         """Delete the record; fires when it is deleted or the store call has failed."""
         self.stop()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -92,6 +92,8 @@
         rate = settings.store_calls_per_second
         self._budget = TokenBucket(rate, rate * BURST_S, reactor.seconds())
         self._call_counts: Counter[str] = Counter()
+        self._cluster_id = ""
+        self._restore_handlers: list[Callable[[], None]] = []
 
     # Records
 
@@ -179,6 +181,27 @@
         watch.start()
         return watch
 
+    # Restores
+
+    def on_restore(self, handler: Callable[[], None]) -> None:
+        """Call ``handler`` when the store was restored from a snapshot.
+
+        Records, leases and revisions from after the snapshot are gone then, and the
+        revisions are given out again. The handler is called before the answer that
+        shows the restore is handed on, so that it must not cancel a call.
+        """
+        self._restore_handlers.append(handler)
+
+    def note_header(self, answer: dict[str, Any]) -> None:
+        """Detect a restore by the cluster id in the header of an answer."""
+        cluster_id = str(answer.get("header", {}).get("cluster_id", ""))
+        known, self._cluster_id = self._cluster_id, cluster_id or self._cluster_id
+        if not known or known == self._cluster_id:
+            return
+        log.warning("the store was restored: its cluster id has changed")
+        for handler in self._restore_handlers:
+            handler()
+
     # Start, stop, status
 
     def budget_left(self) -> float:
@@ -261,6 +284,8 @@
             ) from error
         if not isinstance(result, dict):
             raise StoreUnavailableError(f"store call {kind} returned no JSON object")
+        # The header of a renewal stands one level deeper.
+        self.note_header(result.get("result", result))
         return result
 
     def _encode_key(self, key: str) -> str:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_watch.py
@@ -155,10 +155,16 @@
         if result.get("canceled"):
             raise _ResetError
         self._idle_timeout.reset(IDLE_TIMEOUT_S)
+        self._store.note_header(result)
+        if self._is_stopped:
+            return
+        revision = int(result.get("header", {}).get("revision", 0))
+        if result.get("created") and revision < self._next_revision - 1:
+            # The store would wait for revisions that it gives out for other changes.
+            raise _ResetError
         for event in result.get("events", []):
             record = self._store.parse_record(event["kv"])
             if record.mod_revision >= self._next_revision:
                 self._on_event(WatchEvent(record, event.get("type") == "DELETE"))
-        revision = int(result.get("header", {}).get("revision", 0))
         if result.get("events"):
             self._next_revision = max(self._next_revision, revision + 1)
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/key_space.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/key_space.py
@@ -99,10 +99,23 @@
     raise StoreRequestError(f"unknown comparison result {comparison.result!r}")
 
 
+class Snapshot(NamedTuple):
+    """A copy of a key space without its event log."""
+
+    revision: int
+    entries_by_key: dict[bytes, KeyValue]
+    expiry_by_lease: dict[int, tuple[float, int]]
+    next_lease: int
+
+
 class KeySpace:
-    """All keys of the store; each transaction that changes keys takes one revision."""
+    """All keys of the store; each transaction that changes keys takes one revision.
+
+    ``cluster_id`` changes when the key space is restored from a snapshot.
+    """
 
     def __init__(self) -> None:
+        self.cluster_id = 1
         self.revision = 1
         self.first_event_revision = 2
         self.listeners: list[Listener] = []
@@ -112,6 +125,34 @@
         self._expiry_by_lease: dict[int, tuple[float, int]] = {}
         self._next_lease = 7001
 
+    def snapshot(self) -> Snapshot:
+        """Return a copy of the current state."""
+        return Snapshot(
+            self.revision,
+            dict(self._entries_by_key),
+            dict(self._expiry_by_lease),
+            self._next_lease,
+        )
+
+    def restore(self, snapshot: Snapshot, now: float) -> None:
+        """Return to a former state; the time to live of its leases begins again.
+
+        Revisions and leases are given out again from there on. Watches have to be ended
+        before, as they get no event of the change.
+        """
+        self.cluster_id += 1
+        self.revision = snapshot.revision
+        # The event after the snapshot is the first that is kept.
+        self.first_event_revision = snapshot.revision + 2
+        self._events.clear()
+        self._entries_by_key = dict(snapshot.entries_by_key)
+        self._keys = sorted(self._entries_by_key)
+        self._expiry_by_lease = {
+            lease: (now + ttl_s, ttl_s)
+            for lease, (_, ttl_s) in snapshot.expiry_by_lease.items()
+        }
+        self._next_lease = snapshot.next_lease
+
     def __len__(self) -> int:
         return len(self._keys)
 
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/store.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/store.py
@@ -18,7 +18,7 @@
 
 from banyanshelf_standins import store_json
 from banyanshelf_standins.http_server import Exchange, HttpServer, resident_kilobytes
-from banyanshelf_standins.key_space import Event, KeySpace, in_range
+from banyanshelf_standins.key_space import Event, KeySpace, Snapshot, in_range
 
 LEASE_CHECK_INTERVAL_S = 0.1
 KIND_BY_PATH = {
@@ -52,6 +52,7 @@
         self.faults = Faults()
         self.calls_by_kind: Counter[str] = Counter()
         self.pending_watches = 0
+        self.snapshot: Snapshot | None = None
         self.server = HttpServer(listen, self.handle)
         self.control = HttpServer(control_listen, self.handle_control)
 
@@ -171,12 +172,23 @@
         match exchange.method, exchange.path:
             case "GET", "/stats":
                 exchange.answer_json(self.statistics())
+            case "POST", "/snapshot":
+                self.snapshot = self.keys.snapshot()
+                exchange.answer_json({})
+            case "POST", "/restore" if self.snapshot is not None:
+                self.restore(self.snapshot)
+                exchange.answer_json({})
             case "POST", "/faults":
                 self.set_faults(exchange.json())
                 exchange.answer_json({})
             case _:
                 exchange.answer_json({"error": "no such control call"}, 404)
 
+    def restore(self, snapshot: Snapshot) -> None:
+        """Return to a snapshot, as a store that was started from it would."""
+        self.server.abort_connections()
+        self.keys.restore(snapshot, reactor.seconds())
+
     def statistics(self) -> dict[str, Any]:
         """Return counts since the start and the memory in use."""
         return {
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/store_json.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/store_json.py
@@ -44,7 +44,7 @@
 def header(keys: KeySpace) -> Json:
     """Return the answer header."""
     return {
-        "cluster_id": "1",
+        "cluster_id": str(keys.cluster_id),
         "member_id": "1",
         "revision": str(keys.revision),
         "raft_term": "1",
