--- a/features/core/claims.feature
+++ b/features/core/claims.feature
@@ -208,3 +208,45 @@
     And claims of 150 keys follow each other every 0.02 s
     Then the claim shard has started at most 12 transactions in any second
     And every claim gets the status "granted"
+
+  # Guards against a second run of a key whose claim was written after the snapshot from
+  # which the store is restored.
+  Scenario Outline: A key is not granted again when the restored store lacks its claim, <state>
+    When the claim store is saved
+    And "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim simulation
+    And <event>
+    And 0.1 s pass in the claim simulation
+    And the claim store is restored
+    And "b" claims key 1 with body "x" for 2.0 s
+    And 3.0 s pass in the claim simulation
+    And "b" claims key 0 with body "x" for 1.0 s
+    And 2.0 s pass in the claim simulation
+    Then claim 3 gets the status "<status>"
+    When the owner of the claim shard crashes
+    And "c" claims key 0 with body "x" for 1.0 s
+    And 3.0 s pass in the claim simulation
+    Then claim 4 gets the status "<status>"
+    And key 0 has 1 run
+
+    Examples:
+      | state     | event                       | status    |
+      | completed | claim 1 ends as "completed" | completed |
+      | unknown   | claim 1 ends as "unknown"   | unknown   |
+
+  # Guards against a second run of a key whose call runs while the store is restored.
+  Scenario: A running claim outlasts a restore of the store
+    When the claim store is saved
+    And "a" claims key 0 with body "x" for 2.0 s
+    And 0.1 s pass in the claim simulation
+    And the claim store is restored
+    And "b" claims key 0 with body "x" for 2.0 s
+    And "b" claims key 1 with body "x" for 2.0 s
+    And 1.0 s pass in the claim simulation
+    Then claim 2 is undecided
+    And claim 3 gets the status "unavailable"
+    When claim 1 ends as "completed"
+    And 1.0 s pass in the claim simulation
+    Then claim 2 gets the status "completed"
+    And claim 1 is recorded
+    And key 0 has 1 run
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -91,6 +91,21 @@
     context.world.crash(name)
 
 
+@when("the claim store is saved")
+def step_save_store(context):
+    context.world.store.save()
+
+
+@when("the claim store is restored")
+def step_restore_store(context):
+    context.world.store.restore()
+
+
+@when("the owner of the claim shard crashes")
+def step_crash_owner(context):
+    context.world.crash(owner_id(context))
+
+
 @when("the owner of the claim shard is paused")
 def step_pause(context):
     context.paused = owner_id(context)
--- a/fuzz/claim_world.py
+++ b/fuzz/claim_world.py
@@ -51,6 +51,18 @@
         self.revision = 0
         self.entries_by_key: dict[str, RangeEntry] = {}
         self.write_count = 0
+        self.restores = 0
+        self._saved: tuple[int, dict[str, RangeEntry]] = (0, {})
+
+    def save(self) -> None:
+        """Keep a copy of the current state."""
+        self._saved = (self.revision, dict(self.entries_by_key))
+
+    def restore(self) -> None:
+        """Return to the copy; revisions are given out again from there on."""
+        self.restores += 1
+        self.revision, entries = self._saved
+        self.entries_by_key = dict(entries)
 
     def apply(self, effect: StoreEffect) -> StoreResult:
         """Carry out an operation and return its result."""
@@ -119,6 +131,8 @@
     view: frozenset[str] = frozenset()
     is_paused: bool = False
     is_alive: bool = True
+    # Restores of the store that the process has noticed.
+    restores: int = 0
 
 
 @dataclass
@@ -170,7 +184,13 @@
         instance = f"i{self.instances}"
         owner = ShardOwner(self.shard, member_id, instance, self.retention_s, self.rng)
         runner = ClaimRunner(member_id, instance, 16_384)
-        return Process(member_id, f"{member_id}.{instance}", owner, runner)
+        return Process(
+            member_id,
+            f"{member_id}.{instance}",
+            owner,
+            runner,
+            restores=self.store.restores,
+        )
 
     @property
     def shard(self) -> int:
@@ -305,6 +325,9 @@
     def _answer(self, operation: StoreOperation, result: StoreResult) -> None:
         process = operation.process
         if process.is_alive:
+            if process.restores != self.store.restores:
+                process.restores = self.store.restores
+                self.apply(process, process.owner.on_store_restored(self.now))
             self.apply(process, process.owner.handle(self.now, result))
 
     def settle(self, seconds: float = 0.0) -> None:
--- a/packages/banyanshelf-core/src/banyanshelf_core/claims/claim_table.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/claim_table.py
@@ -115,13 +115,31 @@
         return [self._claims_by_key[key] for key in keys]
 
     def load(self, now: float, claims_by_batch: dict[int, list[ClaimRecord]]) -> None:
-        """Add the claims read from the store, in the order of their batches."""
+        """Add the claims read from the store, in the order of their batches.
+
+        Claims that are known already go before those of the store, which was restored
+        then, and are written again.
+        """
+        known = list(self._claims_by_key.values())
         for number, claims in claims_by_batch.items():
             keys = [claim.key_digest for claim in claims]
             self._batches.append(_Batch(number, now, keys))
             for claim in claims:
                 self._update_claim(claim)
                 self._batch_by_key[claim.key_digest] = number
+        for claim in known:
+            self.put(now, claim, urgent=True)
+
+    def forget_store(self) -> None:
+        """Forget what the store holds; the claims stay known.
+
+        The replies that wait for a commit are dropped.
+        """
+        self._batch_by_key.clear()
+        self._batches.clear()
+        self._expired_batches.clear()
+        self._deleting_count = 0
+        self._pending, self._in_flight = _Changes(), _Changes()
 
     def put(self, now: float, claim: ClaimRecord, *, urgent: bool) -> None:
         """Set the state of a key; the next transaction writes it."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_owner.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/claims/shard_owner.py
@@ -15,6 +15,9 @@
   running. A grant repeated after the attempt has ended is ignored by its runner.
 - *Lost runner.* An ``unknown`` claim is never granted to another attempt, so a runner
   that was only paused may still run the call and report its outcome.
+- *Restored store.* A store that comes back from an older copy may lack claims that this
+  owner has committed. The owner keeps its table, takes the shard over anew and writes
+  every claim again before it grants further ones.
 - *Expiry after takeover.* The new owner does not know the age of a batch and counts its
   retention time from the moment at which it loads the batch. Claims may be kept longer,
   never shorter. A claim without an outcome is written again instead of deleted.
@@ -149,6 +152,18 @@
         self._takeover_at = None
         return self._drop_state()
 
+    def on_store_restored(self, now: float) -> list[OwnerEffect]:
+        """Take the shard over anew and write all known claims again.
+
+        The copy from which the store was restored may lack some of them, and another
+        runner would be granted their keys.
+        """
+        if not self._is_assigned or self._takeover_at is not None:
+            return []
+        refused = self._table.refuse_requests(ClaimStatus.UNAVAILABLE)
+        self._table.forget_store()
+        return [*refused, *self._log.open(now)]
+
     def hand_over(self, now: float) -> list[OwnerEffect]:
         """Refuse new requests, commit the pending changes, then give up the shard.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
@@ -195,6 +195,12 @@
             self._apply(owner.shard, owner.relinquish())
         self._members_changed()
 
+    def note_store_restored(self) -> None:
+        """Write the claims of the own shards to the restored store again."""
+        log.warning("the store was restored; taking over the claim shards again")
+        for owner in self._owners:
+            self._apply(owner.shard, owner.on_store_restored(self._now()))
+
     def wait_until_drained(self) -> Deferred[None]:
         """Return a Deferred that fires once every outcome is recorded."""
         drained: Deferred[None] = Deferred()
