Write the text in effect again to a store that was restored without it

Callers saw: an accepted text reverted at daemons that started after a restore and found no peer; a text applied to the restored store was never adopted, since its version was not higher than the one in effect.

Cause: daemons only read the head of the store.

Change: a daemon that finds an older head that it has seen before commits the head of the version in effect again, by compare-and-swap and after a random delay. A head that it has not seen was applied to the older state: it is committed once more under the next version, so that the change that was accepted last takes effect.

--- a/features/steps/simulated_daemons.py
+++ b/features/steps/simulated_daemons.py
@@ -19,6 +19,7 @@
 from banyanshelf_core.store_records import (
     CONFIG_HEAD_KEY,
     ConfigHead,
+    decode_record,
     encode_record,
     part_key,
 )
@@ -105,9 +106,15 @@
 
     def apply(self):
         self.version += 1
-        text = f'[services.desk]\nhosts = ["desk-{self.version}.example"]\n'
+        self._commit(self.version, f"desk-{self.version}")
+
+    def apply_to_copy(self, version, host):
+        self._commit(version, host)
+
+    def _commit(self, version, host):
+        text = f'[services.desk]\nhosts = ["{host}.example"]\n'
         text_digest = digest(text.encode())
-        head = (self.version, text_digest, 1, "apply", "Uwase", 0.0)
+        head = (version, text_digest, 1, f"apply-{host}", "Uwase", 0.0)
         names = ConfigHead.__struct_fields__
         self.write(part_key(text_digest, 0), text)
         record = ConfigHead(**dict(zip(names, head, strict=True)))
@@ -230,6 +237,18 @@
             active = daemon.cluster.active()
             assert (active.version if active else 0) == version, active
 
+    def host_in_effect(self, host):
+        for daemon in self.daemons.values():
+            services = daemon.cluster.active().text.services
+            assert services["desk"].hosts == [f"{host}.example"], services
+
+    def version_in_store(self, version):
+        record = self.store.keys.get(PREFIX + CONFIG_HEAD_KEY.encode())
+        head = decode_record(record.value, ConfigHead)
+        assert head.version == version, head
+        part = self.store.keys.get(PREFIX + part_key(head.digest, 0).encode())
+        assert part is not key_space.ABSENT
+
     def records_in_store(self):
         for number in self.daemons:
             key = PREFIX + f"members/gateway-{number}".encode()
--- a/features/steps/simulated_platform.py
+++ b/features/steps/simulated_platform.py
@@ -63,6 +63,10 @@
     def store_is_saved(self):
         self.saved = self.store.keys.snapshot()
 
+    def store_is_emptied(self):
+        self.saved = key_space.KeySpace().snapshot()
+        self.store_is_restored()
+
     def store_is_restored(self):
         self.changed_at = self.reactor.seconds()
         self.store.restore(self.saved)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster.py
@@ -194,6 +194,10 @@
         """Return whether no higher version is active or being read."""
         return version == self._reading_version and version > self._tracker.version
 
+    def text_in_effect(self) -> tuple[int, str, str]:
+        """Return version, digest and text in effect; version 0 if there is none."""
+        return self._tracker.version, self._tracker.digest, self._tracker.text
+
     # Messages and effects
 
     def _tick(self) -> None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -11,6 +11,7 @@
 
 from banyanshelf_core.backoff import Backoff
 from banyanshelf_core.errors import StoreError, StoreRecordError
+from banyanshelf_core.head_recovery import HeadRecovery
 from banyanshelf_core.model import Member
 from banyanshelf_core.store_records import (
     CONFIG_HEAD_KEY,
@@ -19,11 +20,13 @@
     MemberRecord,
     decode_record,
     encode_record,
+    history_key,
     join_parts,
     member_key,
     part_key,
+    split_text,
 )
-from banyanshelf_core.store_transactions import KeyValue
+from banyanshelf_core.store_transactions import Compare, KeyValue, Put, Transaction
 from banyanshelf_daemon.background import BackgroundTasks
 from banyanshelf_daemon.store_client import RangeResult, StoreClient
 from banyanshelf_daemon.store_watch import StoreWatch, WatchEvent
@@ -33,6 +36,9 @@
 # Allows several retries before the lease expires after a missed keepalive.
 LEASE_BACKOFF_LIMIT_S = 5.0
 STORE_BACKOFF_LIMIT_S = 10.0
+# Daemons that find an old head in a restored store at the same time write a new one
+# after a random part of this time, so that most of them see that another one has.
+HEAD_RECOVERY_SPREAD_S = 1.0
 
 log = Logger("cluster_store")
 
@@ -55,6 +61,9 @@
     def is_still_needed(self, version: int) -> bool:
         """Return whether the version being read is still needed."""
 
+    def text_in_effect(self) -> tuple[int, str, str]:
+        """Return version, digest and text in effect; version 0 if there is none."""
+
 
 class StoreWatcher:
     """Reads members and configuration head, then watches them; retries forever."""
@@ -73,6 +82,8 @@
         self._is_started = False
         self._tasks = BackgroundTasks(reactor)
         self._watches: dict[str, StoreWatch] = {}
+        self._recovery = HeadRecovery()
+        self._head_revision = 0
         store.on_restore(self._on_restore)
 
     def start(self) -> None:
@@ -101,10 +112,7 @@
         self._listener.on_members_read([each for each in members if each is not None])
         self._watch(MEMBERS_PREFIX, result.revision + 1, self._on_member_event)
         result = await self._read(CONFIG_HEAD_KEY)
-        if result.records:
-            self._on_head(result.records[0])
-        else:
-            self._listener.on_head(None)
+        self._on_head(result.records[0] if result.records else None)
         self._watch(CONFIG_HEAD_KEY, result.revision + 1, self._on_head_event)
 
     async def _read(self, prefix: str) -> RangeResult:
@@ -146,13 +154,54 @@
         if not event.is_deleted:
             self._on_head(event.record)
 
-    def _on_head(self, record: KeyValue) -> None:
+    def _on_head(self, record: KeyValue | None) -> None:
         try:
-            head = decode_record(record.value, ConfigHead)
+            head = decode_record(record.value, ConfigHead) if record else None
         except StoreRecordError as error:
             log.error("invalid configuration head ignored: {}", error)
             return
+        self._head_revision = record.mod_revision if record else 0
         self._listener.on_head(head)
+        version, digest, _ = self._listener.text_in_effect()
+        missing = (
+            self._recovery.missing_head(head, version, digest) if version else None
+        )
+        if head is not None:
+            self._recovery.note(head)
+        if missing is not None:
+            self._tasks.spawn(
+                self._write_head(missing, self._head_revision), "head recovery"
+            )
+
+    async def _write_head(self, head: ConfigHead, revision: int) -> None:
+        """Commit a head that the store lacks, unless the store's head has changed."""
+        log.warning("the store lacks version {}; writing it again", head.version)
+        backoff = Backoff(self._rng, limit_s=STORE_BACKOFF_LIMIT_S)
+        await self._tasks.sleep(self._rng.uniform(0, HEAD_RECOVERY_SPREAD_S))
+        while self._head_revision == revision:
+            try:
+                is_written = await self._commit_head(head, revision)
+            except StoreError as error:
+                log.info("writing version {} failed, retrying: {}", head.version, error)
+                await self._tasks.sleep(backoff.next_delay())
+                continue
+            outcome = "written again" if is_written else "superseded"
+            log.info("version {} is {}", head.version, outcome)
+            return
+
+    async def _commit_head(self, head: ConfigHead, revision: int) -> bool:
+        _, digest, text = self._listener.text_in_effect()
+        if head.digest == digest:
+            for index, part in enumerate(split_text(text)):
+                await self._store.put(part_key(digest, index), part)
+        record, history = encode_record(head), history_key(head.version)
+        result = await self._store.transact(
+            Transaction(
+                (Compare(CONFIG_HEAD_KEY, revision), Compare(history, 0)),
+                (Put(CONFIG_HEAD_KEY, record), Put(history, record)),
+            )
+        )
+        return result.succeeded
 
     async def _read_text(self, version: int, digest: str, parts: int) -> None:
         backoff = Backoff(self._rng, limit_s=STORE_BACKOFF_LIMIT_S)
