Keep to the higher version when a lower one is applied to a restored store

Change: a lower version has no effect, as before; the version in effect is written over it and an error names the text to apply again. Only a head with the version in effect and another digest is committed under the next version.

A lower version that was accepted between the restore and the first write of a daemon is lost, but for the error.

--- a/features/daemon/cluster_daemons.feature
+++ b/features/daemon/cluster_daemons.feature
@@ -29,7 +29,7 @@
       | The store is restored                  | 3     | run: 2, store is saved, apply, run: 5, store is restored, run: 20, apply, run: 2                  | agreement, version in effect: 3, records in store                       |
       | A restored store lacks a text          | 3     | run: 2, store is saved, apply, run: 5, store is restored, run: 20, start: 4, run: 5               | agreement, version in effect: 2, version in store: 2                    |
       | A restored store has no text           | 3     | run: 2, apply, run: 2, store is emptied, run: 20, start: 4, run: 5                                | agreement, version in effect: 2, version in store: 2                    |
-      | A text is applied to the copy          | 3     | run: 2, store is saved, apply, apply, run: 5, store is restored, apply to copy: 2 other, run: 20  | agreement, version in effect: 4, host in effect: other, version in store: 4 |
+      | A lower version is applied to the copy | 3     | run: 2, store is saved, apply, apply, run: 5, store is restored, apply to copy: 2 other, run: 20  | agreement, version in effect: 3, version in store: 3                    |
       | The same version is given out again    | 3     | run: 2, store is saved, apply, run: 5, store is restored, apply to copy: 2 other, run: 20         | agreement, version in effect: 3, host in effect: other, version in store: 3 |
       | A lease is given out again             | 3     | store is saved, run: 5, store is restored, start: 4, run: 100                                           | agreement, version in effect: 1, records in store                       |
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/head_recovery.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/head_recovery.py
@@ -13,11 +13,12 @@
 
 
 class HeadRecovery:
-    """Decides which head a store should have whose head is older than the known one.
+    """Decides which head a store should have that was restored to an older one.
 
-    A restored store may lack the version in effect, which is written again. Operators
-    may have applied a text to the restored store meanwhile: no daemon would adopt it,
-    as its version is not higher. It is committed once more under the next version.
+    The version in effect is written again. Operators may have applied a text to the
+    restored store meanwhile. A lower version stays without effect, as always. One that
+    equals the version in effect is committed once more under the next version:
+    otherwise, daemons that start later would adopt another text than those that run.
 
     Example:
         ``recovery.note(head)`` for each head that the store has told, and
@@ -43,13 +44,14 @@
         ``version`` and ``digest`` are those of the text in effect.
         """
         if head is None or head.version < version:
-            if head is None or head.apply_id in self._head_by_apply_id:
-                return self._head_of(version, digest)
-        elif head.version > version:
-            return None
-        if head.digest == digest or head.apply_id in self._head_by_apply_id:
-            return None
-        return msgspec.structs.replace(head, version=version + 1)
+            return self._head_of(version, digest)
+        if head.version == version and head.digest != digest:
+            return msgspec.structs.replace(head, version=version + 1)
+        return None
+
+    def is_known(self, head: ConfigHead) -> bool:
+        """Whether the store has told this head before."""
+        return head.apply_id in self._head_by_apply_id
 
     def _head_of(self, version: int, digest: str) -> ConfigHead | None:
         for head in self._head_by_apply_id.values():
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -167,6 +167,14 @@
             self._recovery.missing_head(head, version, digest) if version else None
         )
         if head is not None:
+            if head.version < version and not self._recovery.is_known(head):
+                log.error(
+                    "version {} by {} has no effect, as version {} is in effect; "
+                    "apply it again",
+                    head.version,
+                    head.author,
+                    version,
+                )
             self._recovery.note(head)
         if missing is not None:
             self._tasks.spawn(
