--- a/features/steps/simulated_gossip.py
+++ b/features/steps/simulated_gossip.py
@@ -168,7 +168,9 @@
             identity,
             [f"{host_of(seed)}:7000" for seed in self.seeds],
             random.Random(name),
-            lambda position, uninterrupted_s: None,
+            lambda position, uninterrupted_s: self.note_store_state(
+                name, position, uninterrupted_s
+            ),
             capacity,
         )
         link.transport = _Transport(self, name, (host, 7000))
@@ -178,10 +180,19 @@
     def add_sharing(self, name, link):
         """Start the load sharing of a gateway."""
         sink = self.sinks[name] = Sink()
-        sharing = LoadSharing(self.reactor, link, sink, sink, lambda: (ORIGIN, 0.0))
+        sharing = LoadSharing(
+            self.reactor, link, sink, sink, lambda: self.store_state(name)
+        )
         sharing.start()
         return sharing
 
+    def store_state(self, name):
+        """Return what a gateway tells of the store; a subclass has one."""
+        return ORIGIN, 0.0
+
+    def note_store_state(self, name, position, uninterrupted_s):
+        """Handle what a gateway is told of the store."""
+
     def restart(self, name, capacity):
         self.stop(name)
         self._add(name, capacity)
