Let the stand-in of the platform's store come back from a copy

Change: the stand-in names its era in all answers, keeps a copy and returns to it, and answers 410 to a watch from a revision that it does not have. A scenario with two gateway processes. A header that is no object, and a long author, do no harm in the product's store client and log.

--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -22,6 +22,14 @@
     When a gateway is killed and started again
     Then unsafe requests are answered with 404 by both gateways
 
+  # Guards against a gateway that stays at the revisions from before a restore.
+  Scenario: A route that is added after a restore of the store is served
+    When the platform's store is copied, changed 6 times and comes back from the copy
+    And the platform's configuration is replaced by one without the unsafe route
+    And both gateways have applied it
+    Then unsafe requests are answered with 404 by both gateways
+    And 20 safe requests through each gateway are answered by upstreams
+
   # Guards against failed requests during an outage of the store.
   Scenario: Requests are answered while the store is down
     When the platform's store is down
--- a/features/steps/platform_e2e_steps.py
+++ b/features/steps/platform_e2e_steps.py
@@ -219,6 +219,18 @@
     context.site.wait_ready()
 
 
+@when(
+    "the platform's store is copied, changed {count:d} times and comes back from the "
+    "copy"
+)
+def step_restore_store(context, count):
+    call_json("POST", CONTROL, "/behaviour", {"saves_copy": True})
+    for _ in range(count):
+        context.site.configure(SAFE, UNSAFE)
+    context.site.wait_applied()
+    call_json("POST", CONTROL, "/behaviour", {"restores_copy": True})
+
+
 @when("the platform's store is down")
 def step_store_down(context):
     call_json("POST", CONTROL, "/behaviour", {"store_down": True})
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/cluster_store.py
@@ -169,7 +169,7 @@
         if head is not None:
             if head.version < version and not self._recovery.is_known(head):
                 log.error(
-                    "version {} by {} has no effect, as version {} is in effect; "
+                    "version {} by {:.64} has no effect, as version {} is in effect; "
                     "apply it again",
                     head.version,
                     head.author,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/store_client.py
@@ -192,9 +192,12 @@
         """
         self._restore_handlers.append(handler)
 
-    def note_header(self, answer: dict[str, Any]) -> None:
+    def note_header(self, answer: Any) -> None:
         """Detect a restore by the cluster id in the header of an answer."""
-        cluster_id = str(answer.get("header", {}).get("cluster_id", ""))
+        header = answer.get("header") if isinstance(answer, dict) else None
+        if not isinstance(header, dict):
+            return
+        cluster_id = str(header.get("cluster_id", ""))
         known, self._cluster_id = self._cluster_id, cluster_id or self._cluster_id
         if not known or known == self._cluster_id:
             return
--- a/packages/banyanshelf-standins/src/banyanshelf_standins/platform_site.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/platform_site.py
@@ -30,10 +30,22 @@
     timer: Any
 
 
+class StoreCopy(NamedTuple):
+    """A former state of the store."""
+
+    revision: int
+    items_by_key: dict[str, dict[str, Any]]
+
+
 class MetadataStore:
-    """Items with one revision counter, and the pending watches."""
+    """Items with one revision counter, and the pending watches.
+
+    ``era`` counts the restores from a copy, beginning at 1; all answers name it.
+    """
 
     def __init__(self, listen: str) -> None:
+        self.era = 1
+        self.copy = StoreCopy(0, {})
         self.revision = 0
         self.is_down = False
         # Delay added to each answer.
@@ -61,6 +73,18 @@
             watch.timer.cancel()
             self._answer_changes(watch.exchange, watch.after)
 
+    def save_copy(self) -> None:
+        """Keep a copy of the current state for :meth:`restore`."""
+        self.copy = StoreCopy(self.revision, dict(self.items_by_key))
+
+    def restore(self) -> None:
+        """Return to the copy; revisions are given out again from there on."""
+        self.era += 1
+        self.revision = self.copy.revision
+        self.items_by_key = dict(self.copy.items_by_key)
+        self.drop_history()
+        self._abort_watches()
+
     def handle(self, exchange: Exchange) -> None:
         """Answer a request, or abort its connection while the store is down."""
         if self.is_down:
@@ -78,8 +102,8 @@
                 for key, item in self.items_by_key.items()
                 if key.startswith(prefix)
             ]
-            exchange.answer_json(
-                {"items": items, "hasMore": False, "asOf": self.revision}
+            self._answer_json(
+                exchange, {"items": items, "hasMore": False, "asOf": self.revision}
             )
         elif exchange.path == "/-/kv-watch":
             self._watch(exchange)
@@ -89,6 +113,9 @@
     def set_down(self, is_down: bool) -> None:
         """Abort all pending watches; requests are aborted while the store is down."""
         self.is_down = is_down
+        self._abort_watches()
+
+    def _abort_watches(self) -> None:
         watches, self._watches = self._watches, []
         for watch in watches:
             watch.timer.cancel()
@@ -101,8 +128,8 @@
 
     def _watch(self, exchange: Exchange) -> None:
         after = int(exchange.query("after", "0"))
-        if after < self.compacted_revision:
-            exchange.answer(410)
+        if not self.compacted_revision <= after <= self.revision:
+            exchange.answer(410, headers=self._headers())
             return
         if self.revision > after:
             self._answer_changes(exchange, after)
@@ -117,7 +144,13 @@
 
     def _answer_changes(self, exchange: Exchange, after: int) -> None:
         events = [each for each in self.changes if each["revision"] > after]
-        exchange.answer_json({"events": events, "asOf": self.revision})
+        self._answer_json(exchange, {"events": events, "asOf": self.revision})
+
+    def _answer_json(self, exchange: Exchange, value: Any) -> None:
+        exchange.answer_json(value, headers=self._headers())
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [("Store-Era", str(self.era))]
 
 
 class PlatformSite:
@@ -151,6 +184,10 @@
                 self.store.delay_s = wanted.get("store_delay_s", self.store.delay_s)
                 if wanted.get("drops_history", False):
                     self.store.drop_history()
+                if wanted.get("saves_copy", False):
+                    self.store.save_copy()
+                if wanted.get("restores_copy", False):
+                    self.store.restore()
                 for upstream in self.upstreams_by_id.values():
                     upstream.latency_s = wanted.get("latency_s", upstream.latency_s)
                 exchange.answer_json({})
