--- a/features/platform/restored_store.feature
+++ b/features/platform/restored_store.feature
@@ -135,3 +135,18 @@
     And the store is down for 2 s and comes back from the copy
     And 1 s passes
     Then the gateway has configuration 3 and uses "i-1 i-2"
+
+  # Guards against full reads without a pause if the store goes back and does not say so.
+  Scenario: A store that goes back without a new generation is read with pauses
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that knows no relay
+    When the store is copied
+    And the store writes configurations 4 to 8
+    And 1 s passes
+    And the store comes back from the copy without notice or a new generation
+    And 10 s pass by
+    Then the gateway has configuration 8 and uses "i-1 i-2"
+    And the gateway has made at most 150 calls since the restore
+    When the store writes configurations 9 to 14
+    And 1 s passes
+    Then the gateway has configuration 14 and uses "i-1 i-2"
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -50,6 +50,14 @@
     context.calls_at_restore = total_calls(context)
 
 
+@when("the store comes back from the copy without notice or a new generation")
+def step_restore_unnamed(context):
+    context.store.restore()
+    context.store.generation -= 1
+    context.store.cut_watches()
+    context.calls_at_restore = total_calls(context)
+
+
 @when(
     "another gateway reports revision {revision:d} of generation {generation:d} "
     "for {seconds:g} s"
