--- a/features/steps/stating_fleet.py
+++ b/features/steps/stating_fleet.py
@@ -10,6 +10,7 @@
 
 from banyanshelf_core.known_departures import KnownDepartures
 from banyanshelf_core.model import LoadReport, Upstream, UpstreamState
+from banyanshelf_core.replica import ORIGIN
 from banyanshelf_daemon.shared_admission import SharedAdmission
 from banyanshelf_daemon.upstream_notices import UpstreamNotices
 
@@ -99,7 +100,7 @@
             link,
             random.Random(name),
             lambda upstream, **options: self._probe(name, upstream, **options),
-            lambda: (0, 0.0),
+            lambda: (ORIGIN, 0.0),
         )
         notices = self.notices[name] = UpstreamNotices(
             self.reactor, link, directory, admission.loads
