Call the notice of a restored store the same at claim tasks and shard owners

Cause: note_store_restored of the task calls on_store_restored of its owners.

Change: both are on_store_restored.

--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claim_service.py
@@ -195,7 +195,7 @@
             self._apply(owner.shard, owner.relinquish())
         self._members_changed()
 
-    def note_store_restored(self) -> None:
+    def on_store_restored(self) -> None:
         """Write the claims of the own shards to the restored store again."""
         log.warning("the store was restored; taking over the claim shards again")
         for owner in self._owners:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -78,7 +78,7 @@
             BudgetedClaimStore(self.store),
             self._rng,
         )
-        self.store.on_restore(self.claims.note_store_restored)
+        self.store.on_restore(self.claims.on_store_restored)
         self.handler = CallHandler(
             reactor,
             settings,
