--- a/review/standins/review_standins/deployment.py
+++ b/review/standins/review_standins/deployment.py
@@ -335,7 +335,9 @@
 valueBytes = 1048576
 ttlMinimumMs = 1000
 [terms]
-contracts = ["base", "drain", "config", "cost", "retry", "recover", "health", "platform"]
+contracts = [
+  "base", "drain", "config", "cost", "retry", "recover", "health", "platform"
+]
 [terms.tolerate]
 machines = 2
 zones = 0
@@ -391,7 +393,7 @@
 
     @classmethod
     async def connect(cls, gateway: Gateway, window_bytes: int = 0) -> Client:
-        """Open a connection to a gateway, with a small receive window if one is given."""
+        """Open a connection to a gateway, with a receive window if one is given."""
         handle = socket.socket()
         handle.setblocking(False)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
