--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs one case: run-case.sh FOLDER MODULE. Exit codes: 0 held, 1 broken, 2 not run.
 case_folder=$1
+mkdir -p "$case_folder"
 module=$2
 cd "$case_folder/../.." || exit 2
 if ! [ -f target/app/banyanshelf_platform/main.py ]; then
--- a/review/standins/review_standins/cut_long_answers.py
+++ b/review/standins/review_standins/cut_long_answers.py
@@ -12,17 +12,10 @@
 from twisted.internet import reactor
 
 from banyanshelf_standins.http_server import Exchange
-from review_standins.deployment import (
-    CONFIGURATION_S,
-    HOST,
-    Client,
-    Deployment,
-    Upstream,
-    has_trouble,
-    new_attempt,
-    run_case,
-    signature,
-)
+from review_standins.case import has_trouble, run_case
+from review_standins.client import HOST, Client, new_attempt
+from review_standins.deployment import CONFIGURATION_S, Deployment
+from review_standins.upstream import Upstream, signature
 
 UPSTREAMS = 14
 PIECES = 20
--- a/review/standins/review_standins/encoded_slash_route.py
+++ b/review/standins/review_standins/encoded_slash_route.py
@@ -8,16 +8,10 @@
 
 import asyncio
 
-from review_standins.deployment import (
-    CONFIGURATION_S,
-    HOST,
-    Client,
-    Deployment,
-    has_trouble,
-    new_attempt,
-    run_case,
-    total_runs,
-)
+from review_standins.case import has_trouble, run_case
+from review_standins.client import HOST, Client, new_attempt
+from review_standins.deployment import CONFIGURATION_S, Deployment
+from review_standins.upstream import total_runs
 
 REQUESTS = 20
 DEADLINE_MS = 2000
--- a/review/standins/review_standins/long_unproven_refusal.py
+++ b/review/standins/review_standins/long_unproven_refusal.py
@@ -9,18 +9,10 @@
 import asyncio
 
 from banyanshelf_standins.http_server import Exchange
-from review_standins.deployment import (
-    HOST,
-    Client,
-    Deployment,
-    Upstream,
-    answer_ok,
-    has_trouble,
-    new_attempt,
-    run_case,
-    signature,
-    total_runs,
-)
+from review_standins.case import has_trouble, run_case
+from review_standins.client import HOST, Client, new_attempt
+from review_standins.deployment import Deployment
+from review_standins.upstream import Upstream, answer_ok, signature, total_runs
 
 ORDERS = 200
 PAUSE_S = 0.04
--- a/review/standins/review_standins/pipelined_stop.py
+++ b/review/standins/review_standins/pipelined_stop.py
@@ -10,17 +10,10 @@
 import signal
 
 from banyanshelf_standins.http_server import Exchange
-from review_standins.deployment import (
-    HOST,
-    Client,
-    Deployment,
-    Upstream,
-    has_trouble,
-    new_attempt,
-    run_case,
-    signature,
-    total_runs,
-)
+from review_standins.case import has_trouble, run_case
+from review_standins.client import HOST, Client, new_attempt
+from review_standins.deployment import Deployment
+from review_standins.upstream import Upstream, signature, total_runs
 
 CLIENTS = 12
 WORK_S = 0.3
--- a/review/standins/review_standins/second_answer_in_stream.py
+++ b/review/standins/review_standins/second_answer_in_stream.py
@@ -12,15 +12,10 @@
 from twisted.internet import reactor
 
 from banyanshelf_standins.http_server import Exchange
-from review_standins.deployment import (
-    HOST,
-    Client,
-    Deployment,
-    Upstream,
-    has_trouble,
-    new_attempt,
-    run_case,
-)
+from review_standins.case import has_trouble, run_case
+from review_standins.client import HOST, Client, new_attempt
+from review_standins.deployment import Deployment
+from review_standins.upstream import Upstream
 
 UPSTREAMS = 14
 # 15 in 100 upstreams say that they are ill and are well.
@@ -78,9 +73,9 @@
         if exchange.path == "/health" and upstream.says_ill:
             exchange.answer(503, headers=upstream.answer_fields(exchange))
         else:
-            upstream.handle(exchange)
+            upstream.serve(exchange)
 
-    upstream.server._handler = handle
+    upstream.on_request = handle
     upstream.answer_run = send_long_answer
 
 
