--- a/review/standins/review_standins/forgotten_start.py
+++ b/review/standins/review_standins/forgotten_start.py
@@ -1,8 +1,8 @@
 """Case: after a restore of the store, an upstream that leaves is in use again.
 
 The upstream has started again under its id since the copy was made, and has said since
-that it leaves. The copy has its entry of before, so that the gateways take the statement
-for that of another start.
+that it leaves. The copy has its entry of before, so that the gateways take what it has
+said for that of another start.
 """
 
 from __future__ import annotations
@@ -128,8 +128,9 @@
     sending.cancel()
     late = sum(leaving.runs_by_attempt[each] for each in clients.late_attempts)
     record.write(
-        f"{late} of {len(clients.late_attempts)} orders that were sent over {DRAIN_S:g} "
-        "s after their gateway had passed on that the upstream leaves were run by it"
+        f"{late} of {len(clients.late_attempts)} orders that were sent over "
+        f"{DRAIN_S:g} s after their gateway had passed on that the upstream leaves "
+        "were run by it"
     )
     return late == 0
 
