Give workspaces and cold upstreams a place in the text and in requests for a permit

Cause: keys, quotas and the rates of cold upstreams concern the matcher, admission and the datagrams between gateways, and none of these has a field for them.

Change: the text has workspaces with keys, a priority, and a quota, anonymous routes, and the time and rate of cold upstreams; requests for a permit and placement queries carry the workspace and whether the call counts towards its quota. Nothing acts on these fields yet. They end the datagrams' arrays, so that older gateways ignore them.

Conclusion: the parts that use the fields can be built side by side.

--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from banyanshelf_core.model import AnswerKind, MemberId, ServiceName, UpstreamId
+from banyanshelf_core.model import (
+    AnswerKind,
+    MemberId,
+    ServiceName,
+    UpstreamId,
+    WorkspaceName,
+)
 from banyanshelf_core.replica import StorePosition
 
 # No time in a datagram is longer, in seconds; the bounds also exclude NaN.
@@ -138,6 +144,8 @@
     excluded: list[UpstreamId]
     only_idle: bool
     priority: int
+    workspace: WorkspaceName = ""
+    counts_toward_quota: bool = False
 
 
 class PlacementReply(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -146,6 +154,7 @@
     If ``is_decided`` is false, the gateway that asked places the call itself.
     Otherwise, an empty ``upstream`` is a refusal, which ``reason`` and
     ``retry_after_s`` explain. ``basis`` holds the values that decided, for the log.
+    ``is_over_quota`` marks a refusal for the quota of the call's workspace.
     """
 
     number: int
@@ -156,6 +165,7 @@
     candidates: int = 0
     hedge_after_s: SecondsFromNow | None = None
     basis: dict[str, float] = {}
+    is_over_quota: bool = False
 
 
 class LateCallNotice(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/packages/banyanshelf-core/src/banyanshelf_core/matching.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/matching.py
@@ -8,7 +8,7 @@
 from urllib.parse import unquote
 
 from banyanshelf_core.errors import RequestError
-from banyanshelf_core.model import ServiceName
+from banyanshelf_core.model import ServiceName, WorkspaceName
 from banyanshelf_core.text import EntryRoute, OperatorText, Route, Service
 
 # RFC 9110, section 9.2.2.
@@ -28,7 +28,8 @@
     has none. ``target_s`` is the time within which an answer is useful; 0 means that
     none is set. The highest ``priority`` is 0. If ``max_attempts`` is 0, the limit of
     the service applies. ``entry_host`` is the host of the entry route, if one matched;
-    later versions may lead its requests to other services.
+    later versions may lead its requests to other services. ``workspace`` is the one
+    whose key the request has; it is empty if the request needs none.
     """
 
     service_name: ServiceName
@@ -43,6 +44,7 @@
     priority: int = 0
     max_attempts: int = 0
     entry_host: str = ""
+    workspace: WorkspaceName = ""
 
 
 class _Rule(NamedTuple):
--- a/packages/banyanshelf-core/src/banyanshelf_core/model.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/model.py
@@ -12,6 +12,7 @@
 MemberId = str
 UpstreamId = str
 ServiceName = str
+WorkspaceName = str
 CallId = int
 
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from banyanshelf_core.model import Upstream, UpstreamId
+from banyanshelf_core.model import Upstream, UpstreamId, WorkspaceName
 
 
 class PlacementRequest(NamedTuple):
@@ -14,7 +14,9 @@
 
     A call with ``only_idle`` is a second attempt that must not delay other calls. While
     the local zone has a usable upstream, upstreams of other zones are considered only
-    if their last report is at most ``max_remote_report_age_s`` old.
+    if their last report is at most ``max_remote_report_age_s`` old. The call draws on
+    the quota of its ``workspace`` if ``counts_toward_quota``, which the further
+    attempts of a call do not.
     """
 
     work_class: str
@@ -24,6 +26,8 @@
     only_idle: bool = False
     priority: int = 0
     max_remote_report_age_s: float = math.inf
+    workspace: WorkspaceName = ""
+    counts_toward_quota: bool = False
 
 
 class RunningAttempt(NamedTuple):
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -49,7 +49,9 @@
     hedged; each daemon may make ``spare_retries`` in 10 s beyond it, by default one a
     second. ``probe_path`` takes precedence over that of ``measuring``.
     ``caller_weights`` are the weights of calling services in sharing this service;
-    other callers have a weight of 1.
+    other callers have a weight of 1. A cold upstream takes at most
+    ``cold_requests_per_s`` from all gateways together, for ``cold_s`` after its start;
+    0 means that there is no such limit.
     """
 
     hosts: list[str] = []
@@ -67,6 +69,8 @@
     max_attempts: int = 3
     hedge: bool = True
     probe_path: str = ""
+    cold_s: float = 0.0
+    cold_requests_per_s: float = 0.0
     routes: list[Route] = []
 
 
@@ -83,7 +87,8 @@
     Entry routes exist in addition to the ``hosts`` and ``path_prefixes`` of services
     and have rules of their own. Times are in milliseconds. ``target_ms`` is the time
     within which an answer is useful; 0 means ``timeout_ms``. The highest ``priority``
-    is 0. ``max_attempts`` limits the upstreams that one call may be sent to.
+    is 0. ``max_attempts`` limits the upstreams that one call may be sent to. Requests
+    of an ``anonymous`` route need no key of a workspace.
 
     Example::
 
@@ -103,6 +108,30 @@
     target_ms: int = 0
     priority: int = 0
     max_attempts: int = 3
+    anonymous: bool = False
+
+
+class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A group of callers, told by the keys that their requests carry.
+
+    Its ``priority`` takes precedence over that of a route; None leaves the route's.
+    All gateways together pass on ``requests_per_s`` of its requests, and up to
+    ``burst`` more at once; 0 requests per second means that there is no quota.
+
+    Example::
+
+        [workspaces.franchise-12]
+        keys = ["k-7f21"]
+        priority = 0
+        requests_per_s = 40
+        burst = 40
+
+    """
+
+    keys: list[str] = []
+    priority: int | None = None
+    requests_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class Measuring(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -138,7 +167,11 @@
 class OperatorText(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
-    """The whole operators' text."""
+    """The whole operators' text.
+
+    Without ``workspaces``, requests need no key. An empty table admits those of
+    anonymous routes only.
+    """
 
     policy: PolicyName = "permits"
     measuring: Measuring = Measuring()
@@ -146,6 +179,7 @@
     protection: Protection = Protection()
     services: dict[str, Service]
     routes: list[EntryRoute] = []
+    workspaces: dict[str, Workspace] | None = None
 
 
 def parse_text(content: str) -> OperatorText:
@@ -178,6 +212,7 @@
         _check_service(name, service, text.services)
     _check_no_shared_match(text.services)
     _check_entry_routes(text)
+    _check_workspaces(text.workspaces or {})
     _check_acyclic(text.services)
 
 
@@ -223,6 +258,8 @@
         "timeout_ms": 1,
         "queue_limit": 1,
         "max_attempts": 1,
+        "cold_s": 0,
+        "cold_requests_per_s": 0,
     }
     for key, lowest in lowest_by_key.items():
         if getattr(service, key) < lowest:
@@ -308,6 +345,28 @@
                 )
 
 
+def _check_workspaces(workspaces: dict[str, Workspace]) -> None:
+    owner_by_key: dict[str, str] = {}
+    for name, workspace in workspaces.items():
+        where = f"workspaces.{name}"
+        for key in workspace.keys:
+            # The message must not repeat the key, as it is logged.
+            if not key:
+                raise TextError(where, "a key is empty", "remove it")
+            if owner_by_key.setdefault(key, name) != name:
+                raise TextError(
+                    where,
+                    f"workspace {owner_by_key[key]!r} has one of its keys",
+                    "give each key to one workspace",
+                )
+        if workspace.requests_per_s < 0 or workspace.burst < 0:
+            raise TextError(
+                where,
+                "requests_per_s and burst must not be negative",
+                "write 0 for no quota",
+            )
+
+
 def _check_acyclic(services: dict[str, Service]) -> None:
     finished: set[str] = set()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -64,6 +64,8 @@
         self.deadline = self.started + timeout_s
         self.target = self._target(context)
         self._context = context
+        self.workspace = route.workspace
+        self.priority = route.priority
         self._service_state = services.state_for(route.service_name, route.service)
         self._may_have_run = False
         self._used_upstreams: frozenset[UpstreamId] = frozenset()
@@ -118,8 +120,10 @@
                 only_idle,
                 self.route.path_prefix,
                 self.target,
-                self.route.priority,
+                self.priority,
                 self.answer_expected_late if self.route.idempotent else None,
+                self.workspace,
+                not self._attempt_count,
             ),
         )
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/interfaces.py
@@ -18,7 +18,14 @@
     StoredAnswer,
 )
 from banyanshelf_core.errors import BanyanshelfError
-from banyanshelf_core.model import Member, MemberId, ServiceName, Upstream, UpstreamId
+from banyanshelf_core.model import (
+    Member,
+    MemberId,
+    ServiceName,
+    Upstream,
+    UpstreamId,
+    WorkspaceName,
+)
 from banyanshelf_core.text import OperatorText
 
 if TYPE_CHECKING:
@@ -36,6 +43,10 @@
         self.retry_after_s = retry_after_s
 
 
+class QuotaExceededError(NotAdmittedError):
+    """The quota of the call's workspace is used up; its request was not run."""
+
+
 class PermitRequest(NamedTuple):
     """A request for a permit.
 
@@ -45,7 +56,9 @@
     there is idle capacity. Calls of one ``work_class`` take a similar time. ``target``
     is the time, on the same clock as ``deadline``, until which an answer is useful; 0
     means that there is none. A ``priority`` of 0 is the highest. ``on_late`` is called,
-    possibly several times, while the answer is expected after the target.
+    possibly several times, while the answer is expected after the target. ``workspace``
+    is empty if the request belongs to none; ``counts_toward_quota`` is true for the
+    first permit of a call.
     """
 
     request_id: str
@@ -59,6 +72,8 @@
     target: float = 0.0
     priority: int = 0
     on_late: Callable[[], None] | None = None
+    workspace: WorkspaceName = ""
+    counts_toward_quota: bool = False
 
 
 class Permit(NamedTuple):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -82,6 +82,8 @@
                 list(placement_request.excluded),
                 placement_request.only_idle,
                 placement_request.priority,
+                placement_request.workspace,
+                placement_request.counts_toward_quota,
             ),
         )
         result: Deferred[PlacementReply] = Deferred()
@@ -176,6 +178,8 @@
             query.excluded,
             query.only_idle,
             query.priority,
+            workspace=query.workspace,
+            counts_toward_quota=query.counts_toward_quota,
         )
         number = query.number
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -178,6 +178,8 @@
             request.excluded,
             request.only_idle,
             request.priority,
+            workspace=request.workspace,
+            counts_toward_quota=request.counts_toward_quota,
         )
         on_late = None if request.only_idle else request.on_late
         aggregator = self._sharing.peer_aggregator
