Admit requests by the keys of their workspace

Cause: the text knows workspaces and their keys, but nothing looked a key up: each request was passed on with whatever the caller said of itself.

A request without a known key is answered 401 before it waits for anything, after the route is known; the workspace's priority replaces the route's. The key is not forwarded, and the workspace's name is always the gateway's. Names with underscores in place of hyphens count as the gateway's own fields too.

--- a/packages/banyanshelf-core/src/banyanshelf_core/matching.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/matching.py
@@ -29,7 +29,8 @@
     none is set. The highest ``priority`` is 0. If ``max_attempts`` is 0, the limit of
     the service applies. ``entry_host`` is the host of the entry route, if one matched;
     later versions may lead its requests to other services. ``workspace`` is the one
-    whose key the request has; it is empty if the request needs none.
+    whose key the request has; it is empty if the request needs none. Requests of an
+    ``anonymous`` route need none.
     """
 
     service_name: ServiceName
@@ -45,6 +46,7 @@
     max_attempts: int = 0
     entry_host: str = ""
     workspace: WorkspaceName = ""
+    anonymous: bool = False
 
 
 class _Rule(NamedTuple):
@@ -212,6 +214,7 @@
             route.priority,
             route.max_attempts,
             route.host.lower(),
+            anonymous=route.anonymous,
         )
 
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -111,6 +111,13 @@
             route = self._matcher_for(active).match(
                 request.host, request.path, request.method, request.value_by_name
             )
+            keys = self.services.workspace_keys(active)
+            if trust_internal_headers:
+                # Calls of backend servers need no key.
+                route = keys.assign(route, context.workspace)
+            else:
+                key = self.services.dialect.workspace_key(request)
+                route = keys.admit(route, key)
             if not route.idempotent:
                 _check_key(request, route)
         except RequestError as error:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -123,7 +123,7 @@
                 self.priority,
                 self.answer_expected_late if self.route.idempotent else None,
                 self.workspace,
-                not self._attempt_count,
+                not (self._attempt_count or self._context.depth),
             ),
         )
 
@@ -137,6 +137,7 @@
             self._context.depth + 1,
             self._service_state.name_bytes,
             upstream_id,
+            self.workspace,
         )
         return forwarded_request(
             self.request,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -18,6 +18,7 @@
     parse_retry_after,
 )
 from banyanshelf_core.text import Protection, Service
+from banyanshelf_core.workspaces import WorkspaceKeys
 from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, NativeDialect
@@ -112,12 +113,21 @@
         self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
+        self._keys: WorkspaceKeys | None = None
+        self._keys_text: ActiveText | None = None
         directory.on_upstreams_change(self._drop_unknown_pools)
 
     def active(self) -> ActiveText | None:
         """Return the active configuration text."""
         return self._configuration.active()
 
+    def workspace_keys(self, active: ActiveText) -> WorkspaceKeys:
+        """Return the keys of workspaces in the active text."""
+        if self._keys is None or self._keys_text is not active:
+            self._keys = WorkspaceKeys.from_text(active.text)
+            self._keys_text = active
+        return self._keys
+
     def state_for(self, service_name: str, service: Service) -> ServiceState:
         """Return the state of a service; changed settings start a new retry budget."""
         state = self._state_by_service.get(service_name)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, Protocol
 
 from banyanshelf_core.errors import RequestError
-from banyanshelf_core.model import LoadReport, Outcome, UpstreamId
+from banyanshelf_core.model import LoadReport, Outcome, UpstreamId, WorkspaceName
 from banyanshelf_core.request_limit import parse_request_limit
 from banyanshelf_daemon.http_message import (
     Answer,
@@ -24,28 +24,38 @@
 from banyanshelf_daemon.problem import problem_answer
 
 _REQUEST_ID = b"upstream-request-id"
+_WORKSPACE = b"banyanshelf-workspace"
+_WORKSPACE_KEY = b"banyanshelf-workspace-key"
 _LOAD_REPORT = re.compile(rb"\s*in_flight=(\d{1,6})\s*,\s*slots=(\d{1,6})\s*")
 
 
 class CallContext(NamedTuple):
-    """What a caller states about a call; ``deadline_s`` is how long it waits."""
+    """What a caller states about a call; ``deadline_s`` is how long it waits.
+
+    ``workspace`` is the one that a backend server states for a call of its own.
+    """
 
     caller_service: str = ""
     depth: int = 0
     deadline_s: float | None = None
+    workspace: WorkspaceName = ""
 
 
 NO_CONTEXT = CallContext()
 
 
 class OutgoingCall(NamedTuple):
-    """What the gateway adds to a request that it sends to an upstream."""
+    """What the gateway adds to a request that it sends to an upstream.
+
+    ``workspace`` is empty if the request belongs to none.
+    """
 
     request_id: str
     remaining_ms: int
     depth: int
     service_name: bytes
     upstream_id: UpstreamId
+    workspace: WorkspaceName = ""
 
 
 class Refusal(NamedTuple):
@@ -78,6 +88,9 @@
     def request_id(self, request: Request) -> str:
         """Return the request id that the caller sent, or an empty string."""
 
+    def workspace_key(self, request: Request) -> bytes:
+        """Return the key of a workspace that the request carries, or empty bytes."""
+
     def upstream_fields(self, call: OutgoingCall) -> bytes:
         """Return the header lines that the gateway adds to a request."""
 
@@ -146,15 +159,20 @@
             values.get(b"banyanshelf-caller-service", b"").decode("utf-8", "replace"),
             header_number(values, b"banyanshelf-depth") or 0,
             None if deadline_ms is None else deadline_ms / 1000,
+            values.get(_WORKSPACE, b"").decode("utf-8", "replace"),
         )
 
     def request_id(self, request: Request) -> str:
         """Return an empty string, as callers send no ids."""
         return ""
 
+    def workspace_key(self, request: Request) -> bytes:
+        """Read ``Banyanshelf-Workspace-Key``."""
+        return request.value_by_name.get(_WORKSPACE_KEY, b"").strip()
+
     def upstream_fields(self, call: OutgoingCall) -> bytes:
         """Return ``Via`` and the internal headers."""
-        return (
+        fields = (
             b"Via: 1.1 banyanshelf\r\nBanyanshelf-Request-Id: %b\r\n"
             b"Banyanshelf-Deadline-Ms: %d\r\nBanyanshelf-Depth: %d\r\n"
             b"Banyanshelf-Caller-Service: %b\r\n"
@@ -165,6 +183,9 @@
                 call.service_name,
             )
         )
+        if call.workspace:
+            fields += b"Banyanshelf-Workspace: %b\r\n" % call.workspace.encode()
+        return fields
 
     def caller_fields(self, request_id: str) -> list[Header]:
         """Return the header with the request id."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -153,6 +153,8 @@
             lower in _REWRITTEN_IN_REQUESTS
             or lower in named
             or lower in dropped
+            # Some upstreams read underscores in names as hyphens.
+            or (b"_" in lower and _is_internal(lower, dropped, dropped_prefix))
             or (dropped_prefix and lower.startswith(dropped_prefix))
         ):
             continue
@@ -163,6 +165,11 @@
     return b"".join(lines)
 
 
+def _is_internal(lower: bytes, dropped: frozenset[bytes], prefix: bytes) -> bool:
+    name = lower.replace(b"_", b"-")
+    return name in dropped or bool(prefix and name.startswith(prefix))
+
+
 def forwarded_headers(
     headers: list[Header], dropped: frozenset[bytes], dropped_prefix: bytes
 ) -> list[Header]:
