End a call when its long answer begins

Cause: a call whose long answer was being passed on was an ordinary call. A failed health check or the timer of the hedged attempt could start a second attempt, whose answer was written into the first one; that timer was also taken for the deadline and cut the answer off. Long answers were passed on without a look at what their heads say of the run.

Change: long answers are judged by their heads like short ones: accepted, retried or replaced by an error answer. When one is passed on, the call ends (no attempt, permit request or timer is left) and an AnswerRelay takes its place; it can only pass that answer on or cut it off. A request whose upstream cuts a long answer is recorded like any other cut. Ends of calls move to call_results.

The fault and its mend are in the shared data path; the scenarios of call_failures.feature play it with the native dialect.

A long error answer that is retried is not kept; if no retry gives an answer, the caller gets 502 or 503.

--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -36,6 +36,38 @@
       | calls to a draining upstream                     | 1 | GET /a >> upstream HTTP/1.1 200 OK\r\nUpstream-State: draining\r\nUpstream-Load: in_flight=2, slots=3\r\nContent-Length: 0\r\n\r\n | leaving desk-1; load [('desk-1', 2, 3)]; header Upstream-Load= |
       | calls to an upstream that refuses connections    | 1 | refuse 1 >> GET /a >> GET /a | leaving desk-1 |
 
+  # Guards against a second answer, or a second run, behind the first byte of a long one.
+  Scenario Outline: A long answer that has begun is not ended by <event>
+    Given a data path with upstream_count=3
+    When these data path events happen: "warm >> <events>"
+    And these data path events happen: "end_long"
+    Then the data path shows "streamed 400000 of 400000; sent <sent>; calls_left 0"
+
+    Examples:
+      | event                              | sent | events |
+      | a notice that it is late           | 1    | GET /a >> begin_long 400000 >> expected_late |
+      | the time of the hedged attempt     | 1    | GET /a >> begin_long 400000 >> wait 0.5 |
+      | a permit for the hedged attempt    | 1    | GET /a >> hold_permits >> wait 0.02 >> begin_long 400000 >> grant |
+      | the answer of a hedged attempt     | 2    | GET /a >> wait 0.02 >> begin_long 400000 |
+      | crashes of the same request        | 1    | GET /a >> begin_long 400000 >> others_mark GET >> wait 0.5 |
+      | a drain                            | 1    | GET /a >> begin_long 400000 >> drain >> wait 0.5 |
+      | a permit after a claim's timer     | 1    | with Idempotency-Key: k >> POST /payments >> begin_long 400000 >> expected_late >> wait 0.5 |
+
+  # Guards against errors that are passed on unjudged because they are long.
+  Scenario Outline: A long answer <kind> is judged before its first byte
+    Given a data path with upstream_count=<upstreams>
+    When these data path events happen: "<events>"
+    Then the data path shows "<checks>"
+
+    Examples:
+      | kind                            | upstreams | events | checks |
+      | with an error                   | 2 | GET /a >> upstream HTTP/1.1 500 No\r\nContent-Length: 300000\r\n\r\n >> 200 ok | answer 200 ok; sent 2; released error answered |
+      | with an error and no length     | 2 | GET /a >> upstream HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n >> chunks 40 >> 200 ok | answer 200 ok; released error answered |
+      | with an error of an unsafe call | 2 | POST /a x >> upstream HTTP/1.1 500 No\r\nContent-Length: 300000\r\n\r\n >> long 300000 | streamed 300000 of 300000; sent 1; released error |
+      | with an error and no upstream left | 1 | GET /a >> upstream HTTP/1.1 500 No\r\nContent-Length: 300000\r\n\r\n | answer 503 unknown; sent 1 |
+      | that says "not run"             | 2 | POST /a x >> upstream HTTP/1.1 503 No\r\nUpstream-Outcome: not_run\r\nContent-Length: 300000\r\n\r\n >> 200 ok | answer 200 ok; released shed answered |
+      | that says "not run" at last     | 1 | POST /a x >> upstream HTTP/1.1 503 No\r\nUpstream-Outcome: not_run\r\nContent-Length: 300000\r\n\r\n | answer 503 not_run; released shed |
+
   # Guards against an answer that makes all gateways forget crashes without a run.
   Scenario Outline: Crash marks after <answer>
     Given a data path with upstream_count=3
@@ -90,6 +122,7 @@
       | key still claimed after a disconnect         | hold_permits >> POST /payments >> gone | recorded released; sent 0 |
       | interrupted payment                          | POST /payments >> gone >> drain >> expect calls 1 False >> 201 paid | recorded completed; calls 0 True |
       | end of a streamed answer before its record   | hold_record >> POST /payments >> upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> long 100000 >> expect stored b'' >> expect streamed 200000 of 300000 >> record | streamed 300000 of 300000 |
+      | drained call before the record of a streamed answer | hold_record >> POST /payments >> upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> gone >> drain >> long 100000 >> expect calls 1 False >> record | recorded completed; calls 0 True |
       | completed record of a cut streamed answer    | POST /payments >> upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> cut | caller cut; recorded unknown |
       | separate claims of equal calls               | claim conflict >> POST /payments >> POST /payments | claims 1 |
       | shared claim of different credentials        | claim conflict >> POST /payments >> with Idempotency-Key: k\r\nAuthorization: b >> POST /payments | claims 2 |
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -100,6 +100,19 @@
       | 429    |
       | 503    |
 
+  # Guards against the same promise by an answer that is too long to be collected.
+  Scenario Outline: A long <status> that does not say "not executed" gives 502
+    When a client sends an unsafe request with 400 ms left
+    And the upstream begins a <status> of 300000 bytes
+    Then the client gets 502
+    And 1 request has reached an upstream
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
   # Guards against a late answer to a call that is taken for the answer of a health probe,
   # and against the answer of a probe that reaches a client.
   Scenario: A probe skips the late answer to a call
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -239,6 +239,7 @@
         step_events(context, "GET /warm >> wait 0.01 >> 200 warm")
     for transport in context.path.upstream_transports:
         transport.history.clear()
+    context.caller.clear()
 
 
 def on_completed(context, body=None):
@@ -262,6 +263,26 @@
     context.path.settle()
 
 
+def on_begin_long(context, length):
+    """Answer the request that has waited longest up to its last 100,000 bytes."""
+    head = f"HTTP/1.1 200 OK\\r\\nContent-Length: {length}\\r\\n\\r\\n"
+    on_upstream(context, head)
+    context.long_transport = context.transport
+    context.path.answer(context.transport, b"y" * (int(length) - 100_000))
+
+
+def on_end_long(context):
+    context.path.answer(context.long_transport, b"y" * 100_000)
+
+
+def on_expected_late(context):
+    """Expect the answers of all calls after their targets."""
+    for request in context.path.permits.requests:
+        if request.on_late is not None:
+            request.on_late()
+    context.path.settle()
+
+
 EVENTS = {
     "stop_within": lambda c, seconds: c.path.handler.refuse_calls_beyond(
         c.path.reactor.seconds() + float(seconds)
@@ -370,6 +391,7 @@
         f"{c.path.permits.requests[-1].depth} "
         f"{c.path.permits.requests[-1].caller_service}".strip()
     ),
+    "calls_left": lambda c: str(c.path.factory.calls_in_progress),
     "calls": lambda c: f"{c.path.factory.calls_in_progress} {c.drained.called}",
     "probe": lambda c: " ".join(c.probe),
     "got": lambda c, line: line.encode() in c.request.split(b"\r\n"),
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -130,6 +130,12 @@
     deliver(context, answer(status, body))
 
 
+@when("the upstream begins a {status:d} of {length:d} bytes")
+def step_long_answer(context, status, length):
+    head = f"HTTP/1.1 {status} Any\r\n{ATTEMPT_ID}: mine\r\n{SIGNATURE}"
+    deliver(context, f"{head}Content-Length: {length}\r\n\r\n".encode())
+
+
 @when("the upstream answers 200 without a signature")
 def step_unsigned(context):
     deliver(context, answer(200, "mine", signature=""))
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
@@ -19,6 +19,19 @@
 GATEWAY_TIMEOUT = 504
 
 
+class LongAnswerReceiver(Protocol):
+    """Receives the body of a long answer, up to ``end`` or ``cut``."""
+
+    def write(self, data: bytes) -> None:
+        """Handle a part of the body."""
+
+    def end(self) -> None:
+        """Handle the complete end of the answer."""
+
+    def cut(self, error: UpstreamError) -> None:
+        """Handle an answer that was cut off before its end."""
+
+
 class AttemptOwner(Protocol):
     """The call that an attempt belongs to."""
 
@@ -40,17 +53,13 @@
     def attempt_failed(self, attempt: Attempt, error: UpstreamError) -> None:
         """Handle a failure; with ``attempt.is_sent``, the upstream may have run it."""
 
-    def stream_begun(self, attempt: Attempt, head: AnswerHead) -> bool:
-        """Return whether a streamed answer is forwarded; it is cancelled otherwise."""
+    def long_answer_begun(
+        self, attempt: Attempt, head: AnswerHead
+    ) -> LongAnswerReceiver | None:
+        """Take over an answer that is too long to buffer.
 
-    def stream_data(self, data: bytes) -> None:
-        """Handle a part of a streamed answer."""
-
-    def stream_ended(self) -> None:
-        """Handle the complete end of a streamed answer."""
-
-    def stream_cut(self, error: UpstreamError) -> None:
-        """Handle a streamed answer that was cut off before its end."""
+        Return None if it is not the result of the call; it is cancelled then.
+        """
 
 
 class Attempt:
@@ -66,7 +75,6 @@
         self.permit = permit
         self.is_sent = False
         self.is_over = False
-        self.is_streaming = False
         self.started = owner.now()
         self.service_time_s = 0.0
         self._owner = owner
@@ -77,6 +85,7 @@
         self._head: AnswerHead | None = None
         self._parts: list[bytes] = []
         self._size = 0
+        self._long_answer: LongAnswerReceiver | None = None
 
     def start(
         self,
@@ -115,36 +124,30 @@
             self._connection.resume()
 
     def answer_begun(self, head: AnswerHead) -> None:
-        """Handle the head; an answer too long to buffer is streamed at once."""
+        """Handle the head; an answer too long to buffer is handed over at once."""
         self._head = head
         self._owner.attempt_head_received(self, head)
         if head.length is not None and head.length > MAX_COLLECTED_BYTES:
-            self._stream(head)
+            self._hand_over(head)
 
     def answer_data(self, data: bytes) -> None:
-        """Buffer a part of the body, or forward it if the answer is streamed."""
-        if self.is_streaming:
-            self._owner.stream_data(data)
+        """Buffer a part of the body, or pass it on if the answer is long."""
+        if self._long_answer is not None:
+            self._long_answer.write(data)
             return
         self._parts.append(data)
         self._size += len(data)
         if self._size > MAX_COLLECTED_BYTES and self._head is not None:
-            self._stream(self._head)
+            self._hand_over(self._head)
 
     def answer_complete(self) -> None:
         """Release the permit and report a complete answer."""
         head = self._head
         if self.is_over or head is None:
             return
-        if self._owner.says_not_run(head):
-            kind = AnswerKind.SHED
-        elif head.status < 500:
-            kind = AnswerKind.ANSWERED
-        else:
-            kind = AnswerKind.ERROR
-        self._release(kind)
-        if self.is_streaming:
-            self._owner.stream_ended()
+        self._release(self._kind_of(head))
+        if self._long_answer is not None:
+            self._long_answer.end()
             return
         body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
         self._owner.attempt_answered(self, Answer(head.status, head.headers, body))
@@ -154,8 +157,8 @@
         if self.is_over:
             return
         self._release(AnswerKind.CUT)
-        if self.is_streaming:
-            self._owner.stream_cut(error)
+        if self._long_answer is not None:
+            self._long_answer.cut(error)
         else:
             self._owner.attempt_failed(self, error)
 
@@ -193,14 +196,21 @@
             error = UpstreamRefusedError(str(error))
         self._owner.attempt_failed(self, error)
 
-    def _stream(self, head: AnswerHead) -> None:
-        self.is_streaming = True
-        parts, self._parts = self._parts, []
-        if not self._owner.stream_begun(self, head):
-            self.cancel()
+    def _hand_over(self, head: AnswerHead) -> None:
+        if self.is_over:
             return
+        self._long_answer = self._owner.long_answer_begun(self, head)
+        if self._long_answer is None:
+            self.cancel(self._kind_of(head))
+            return
+        parts, self._parts = self._parts, []
         for part in parts:
-            self._owner.stream_data(part)
+            self._long_answer.write(part)
+
+    def _kind_of(self, head: AnswerHead) -> AnswerKind:
+        if self._owner.says_not_run(head):
+            return AnswerKind.SHED
+        return AnswerKind.ANSWERED if head.status < 500 else AnswerKind.ERROR
 
     def _release(self, kind: AnswerKind) -> None:
         self.is_over = True
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -74,7 +74,6 @@
         self._pending_permit: Deferred[Permit] | None = None
         self._pending_hedge_permit: Deferred[Permit] | None = None
         self._fallback_answer: Answer | None = None
-        self._stream_head: AnswerHead | None = None
         self._fingerprint: str | None = None
         self._hedge_at: float | None = None
         self._shortest_pause_s = math.inf
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from hashlib import sha256
 from typing import Any
 
 from banyanshelf_core.call_messages import ClaimOutcome, ClaimStatus, StoredAnswer
 from banyanshelf_core.errors import UpstreamError
-from banyanshelf_core.model import AnswerKind, Outcome
+from banyanshelf_core.model import Outcome
+from banyanshelf_daemon.answer_relay import AnswerRelay
+from banyanshelf_daemon.attempt import Attempt
 from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
-from banyanshelf_daemon.http_message import Answer, header
+from banyanshelf_daemon.http_message import Answer, AnswerHead, header
 from banyanshelf_daemon.interfaces import ClaimDecision
 from banyanshelf_daemon.problem import problem_answer
 from banyanshelf_daemon.running_call import RunningCall
@@ -25,9 +28,7 @@
     """
 
     _attempt_id = ""
-    _is_caller_gone = False
-    _is_recorded = False
-    _held_back_data = b""
+    is_recorded = False
 
     def run(self) -> None:
         """Claim the key, then continue like a call without one."""
@@ -51,10 +52,9 @@
 
     def caller_disconnected(self) -> bool:
         """Cancel the call unless it may have run; its outcome is recorded then."""
-        self._is_caller_gone = True
         if self.is_over or self._is_sent():
-            return not self._is_recorded
-        self._end(AnswerKind.CANCELLED)
+            return not self.is_recorded
+        self._end()
         if self._attempt_id:
             self._record(ClaimOutcome.RELEASED, None)
         return False
@@ -69,28 +69,21 @@
             stored = self._stored(answer.status, answer)
         self._record_then(outcome, stored, lambda: self.exchange.answer(answer))
 
-    def stream_data(self, data: bytes) -> None:
-        """Forward all parts but the last, which is held back until the record."""
-        held, self._held_back_data = self._held_back_data, data
-        super().stream_data(held)
-
-    def stream_ended(self) -> None:
-        """Record a streamed answer without its body, then send its last part."""
-        self._end(AnswerKind.CANCELLED)
-        head = self._stream_head
-        if head is None:
-            return
-        self.report_metrics(head.status, 0.0)
-        self.clear_crash_marks(head.status)
-        self._record_then(
-            ClaimOutcome.COMPLETED, self._stored(head.status, None), self._send_end
-        )
+    def new_relay(self, attempt: Attempt, head: AnswerHead) -> AnswerRelay:
+        """Return a relay that waits for the record before the end of the answer."""
+        return _RecordedRelay(self, attempt, head)
 
-    def stream_cut(self, error: UpstreamError) -> None:
-        """Abort the caller's connection and record that the outcome is unknown."""
+    def relay_cut(
+        self, attempt: Attempt, error: UpstreamError, *, by_upstream: bool
+    ) -> None:
+        """Record that the outcome is unknown."""
+        super().relay_cut(attempt, error, by_upstream=by_upstream)
         self._record(ClaimOutcome.UNKNOWN, None)
-        self._is_recorded = True
-        super().stream_cut(error)
+        self.is_recorded = True
+
+    def record_long_answer(self, status: int, finish: Callable[[], None]) -> None:
+        """Record a long answer without its body, then finish it."""
+        self._record_then(ClaimOutcome.COMPLETED, self._stored(status, None), finish)
 
     def _claimed(self, decision: ClaimDecision) -> None:
         self.services.metrics.count(f"claim.{decision.status}")
@@ -112,8 +105,8 @@
         if granted:
             self.admit()
             return
-        self._end(AnswerKind.CANCELLED)
-        self._is_recorded = True
+        self._end()
+        self.is_recorded = True
         answer = self._answer_for(decision)
         self.report_metrics(answer.status, 0.0)
         super().conclude(answer, ClaimOutcome.RELEASED)
@@ -217,13 +210,35 @@
         self._record(outcome, stored).addCallback(recorded)
 
     def _answer_once(self, answer: Any) -> None:
-        self._is_recorded = True
+        self.is_recorded = True
         answer()
         self.exchange.call_ended()
 
+
+class _RecordedRelay(AnswerRelay):
+    """Holds the last part of a long answer back until its outcome is recorded."""
+
+    def __init__(self, call: ClaimedCall, attempt: Attempt, head: AnswerHead) -> None:
+        super().__init__(call, attempt, head)
+        self._claimed_call = call
+        self._status = head.status
+        self._held_back_data = b""
+
+    def write(self, data: bytes) -> None:
+        """Pass on all parts but the last."""
+        held, self._held_back_data = self._held_back_data, data
+        super().write(held)
+
+    def caller_disconnected(self) -> bool:
+        """Continue until the outcome is recorded."""
+        return super().caller_disconnected() or not self._claimed_call.is_recorded
+
+    def _conclude(self) -> None:
+        self._claimed_call.record_long_answer(self._status, self._send_end)
+
     def _send_end(self) -> None:
-        self.exchange.write(self._held_back_data)
-        self.exchange.finish()
+        self._exchange.write(self._held_back_data)
+        self._exchange.finish()
 
 
 def _digest(*parts: bytes) -> str:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -90,7 +90,7 @@
     def probe_rules(self) -> AnswerRules:
         """Return the rules that tell a probe's answer from those to calls."""
 
-    def falsely_promises_not_run(self, answer: Answer) -> bool:
+    def falsely_promises_not_run(self, head: Answer | AnswerHead) -> bool:
         """Whether an answer tells callers that a call has not run, without proof."""
 
     def says_not_run(self, head: Answer | AnswerHead) -> bool:
@@ -178,7 +178,7 @@
         """Skip answers that name a request, as a probe has no id."""
         return AnswerRules(_REQUEST_ID, b"", self.says_not_run)
 
-    def falsely_promises_not_run(self, answer: Answer) -> bool:
+    def falsely_promises_not_run(self, head: Answer | AnswerHead) -> bool:
         """Return False, as only ``Upstream-Outcome`` states that a call has not run."""
         return False
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -1,4 +1,4 @@
-"""Runs a call: admission, sending, retries, a hedged attempt and the answer."""
+"""Runs a call: admission, sending, retries and a hedged attempt."""
 
 from __future__ import annotations
 
@@ -7,28 +7,22 @@
 from twisted.internet.defer import CancelledError
 from twisted.python.failure import Failure as DeferredFailure
 
-from banyanshelf_core.call_messages import ClaimOutcome
-from banyanshelf_core.crash_guard import shows_completed_run
 from banyanshelf_core.errors import UpstreamAnswerError, UpstreamError
-from banyanshelf_core.model import AnswerKind, Outcome
 from banyanshelf_core.retry import RETRIED_STATUSES, Failure
+from banyanshelf_daemon.answer_relay import AnswerRelay
 from banyanshelf_daemon.attempt import Attempt
-from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S, CallState
-from banyanshelf_daemon.dialect import Refusal
+from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
+from banyanshelf_daemon.call_results import DEFAULT_RETRY_AFTER_S, ResolvableCall
 from banyanshelf_daemon.http_message import Answer, AnswerHead, header_value
 from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
 from banyanshelf_daemon.problem import PROXY_NAME
 
-# A caller that tries again is sent to another gateway by then.
-SHUTDOWN_RETRY_AFTER_S = 0.1
-# Told to callers if nothing better is known.
-DEFAULT_RETRY_AFTER_S = 1.0
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
 # gateway, which has already used up its retries.
 RELAYED_PROXY_STATUS = f"{PROXY_NAME}; error=".encode()
 
 
-class RunningCall(CallState):
+class RunningCall(ResolvableCall):
     """A call that is idempotent or has no idempotency key."""
 
     def run(self) -> None:
@@ -47,7 +41,7 @@
         A non-idempotent call whose request has been sent is not interrupted.
         """
         if not self.is_over and (self.route.idempotent or not self._is_sent()):
-            self._end(AnswerKind.CANCELLED)
+            self._end()
             self.services.log.event(
                 "caller left",
                 request_id=self.request_id,
@@ -84,27 +78,31 @@
     def attempt_answered(self, attempt: Attempt, answer: Answer) -> None:
         """Handle a complete answer: forward it, or retry after an error."""
         self._attempts.remove(attempt)
-        services = self.services
-        not_run = self.says_not_run(answer)
-        is_false_promise = services.dialect.falsely_promises_not_run(answer)
-        if answer.status < 500 and not (not_run or is_false_promise):
+        if self._accepts(answer):
             # Errors are left out: fast ones would shorten the hedge delay.
             self._service_state.policy.note_answer(attempt.service_time_s)
             self.clear_crash_marks(answer.status)
             self.finish(answer, attempt)
             return
-        self._may_have_run = self._may_have_run or not not_run
-        failure = Failure.NOT_RUN if not_run else Failure.ERROR
-        status = header_value(answer.headers, b"proxy-status")
-        if status is not None and RELAYED_PROXY_STATUS in status:
-            failure = Failure.EXHAUSTED
         self._fallback_answer = answer
-        is_retried = not_run or answer.status in RETRIED_STATUSES
-        if is_retried and self._retry(failure):
-            return
-        if self._attempts or self._pending_hedge_permit is not None:
-            return
-        self._finish_fallback(answer)
+        if not self._goes_on_after(answer):
+            self._finish_fallback(answer)
+
+    def long_answer_begun(
+        self, attempt: Attempt, head: AnswerHead
+    ) -> AnswerRelay | None:
+        """Pass a long answer on, unless the call goes on after it.
+
+        It is judged like a short one, before its first byte is sent to the caller.
+        """
+        self._attempts.remove(attempt)
+        if not self._accepts(head):
+            if self._goes_on_after(head):
+                return None
+            if self._is_replaced(head):
+                self._finish_fallback(Answer(head.status, head.headers, b""))
+                return None
+        return self.relay(attempt, head)
 
     def attempt_failed(self, attempt: Attempt, error: UpstreamError) -> None:
         """Retry if that is safe, otherwise answer with an error."""
@@ -124,92 +122,6 @@
         kind = "connection_terminated" if attempt.is_sent else "connection_refused"
         self.finish_problem(502, str(error), kind)
 
-    def stream_begun(self, attempt: Attempt, head: AnswerHead) -> bool:
-        """Start to stream a long answer and cancel the other attempts."""
-        if self.is_over:
-            return False
-        self._attempts.remove(attempt)
-        self._cancel_attempts(AnswerKind.CANCELLED)
-        self._attempts.append(attempt)
-        self._hedge_at = None
-        self._may_have_run = True
-        self._stream_head = head
-        self.exchange.begin(
-            head.status, self.caller_headers(head.headers), head.length, attempt
-        )
-        return True
-
-    def stream_data(self, data: bytes) -> None:
-        """Forward a part of a streamed answer."""
-        self.exchange.write(data)
-
-    def stream_ended(self) -> None:
-        """Finish a streamed answer."""
-        if self._stream_head is not None:
-            self.report_metrics(self._stream_head.status, 0.0)
-            self.clear_crash_marks(self._stream_head.status)
-        self._end(AnswerKind.CANCELLED)
-        self.exchange.finish()
-        self.exchange.call_ended()
-
-    def stream_cut(self, error: UpstreamError) -> None:
-        """Abort the caller's connection, so that it sees the answer as truncated."""
-        self._end(AnswerKind.CANCELLED)
-        self.services.log.warning(
-            "answer_cut", request_id=self.request_id, detail=str(error)
-        )
-        self.exchange.abort()
-        self.exchange.call_ended()
-
-    # Results of the call
-
-    def finish(self, answer: Answer, attempt: Attempt | None = None) -> None:
-        """Forward the answer of an upstream as the result of the call."""
-        self._end(AnswerKind.CANCELLED)
-        headers = self.caller_headers(answer.headers)
-        if attempt is not None:
-            self.report_metrics(answer.status, attempt.service_time_s)
-        self.log_outcome(answer.status, attempt)
-        self.conclude(
-            Answer(answer.status, headers, answer.body), ClaimOutcome.COMPLETED
-        )
-
-    def finish_problem(
-        self,
-        status: int,
-        detail: str,
-        error: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        """Answer with problem details that tell whether the request may have run."""
-        outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
-        self._end(AnswerKind.CANCELLED)
-        self.report_metrics(status, 0.0)
-        self.log_outcome(status, None, outcome=outcome.value, detail=detail)
-        answer = self.services.dialect.refusal(
-            Refusal(status, detail, outcome, error, retry_after_s, self.request_id)
-        )
-        self.conclude(
-            answer,
-            ClaimOutcome.UNKNOWN if self._may_have_run else ClaimOutcome.RELEASED,
-        )
-
-    def conclude(self, answer: Answer, outcome: ClaimOutcome) -> None:
-        """Send the final answer; a claimed call records its outcome first."""
-        self.exchange.answer(answer)
-        self.exchange.call_ended()
-
-    def internal_error(self, failure: DeferredFailure) -> None:
-        """Answer 500 after an unexpected exception instead of at the deadline."""
-        self.services.log.warning(
-            "internal_error",
-            request_id=self.request_id,
-            detail=failure.getTraceback(),
-        )
-        if not self.is_over:
-            self._may_have_run = self._is_sent()
-            self.finish_problem(500, "internal error", "proxy_internal_error")
-
     # Steps
 
     def _admitted(self, permit: Permit) -> None:
@@ -291,6 +203,23 @@
         self.admit()
         return True
 
+    def _accepts(self, head: Answer | AnswerHead) -> bool:
+        """Whether an answer is the result of the call, whatever else is in progress."""
+        return head.status < 500 and not self._is_replaced(head)
+
+    def _goes_on_after(self, head: Answer | AnswerHead) -> bool:
+        """Whether the call goes on after an answer that it does not accept."""
+        not_run = self.says_not_run(head)
+        self._may_have_run = self._may_have_run or not not_run
+        failure = Failure.NOT_RUN if not_run else Failure.ERROR
+        status = header_value(head.headers, b"proxy-status")
+        if status is not None and RELAYED_PROXY_STATUS in status:
+            failure = Failure.EXHAUSTED
+        is_retried = not_run or head.status in RETRIED_STATUSES
+        if is_retried and self._retry(failure):
+            return True
+        return bool(self._attempts or self._pending_hedge_permit is not None)
+
     def _on_timer(self) -> None:
         self._timer = None
         if self._hedge_at is not None and self.now() < self.deadline:
@@ -300,44 +229,6 @@
             return
         self.expire()
 
-    def expire(self) -> None:
-        """Cancel the attempts and answer 504 at the deadline."""
-        if self._cancel_unanswered(
-            AnswerKind.TIMEOUT, "the deadline passed during a long answer"
-        ):
-            self.finish_problem(
-                504, "no answer within the time limit", "http_response_timeout", 1.0
-            )
-
-    def clear_crash_marks(self, status: int) -> None:
-        """Clear the marks of the request after an answer that shows a completed run."""
-        crashes = self.services.crashes
-        if crashes.guard.has_tracked_requests and shows_completed_run(status):
-            crashes.record_answer(self.fingerprint(), self.request_id, status)
-
-    def end_by_shutdown(self) -> None:
-        """Answer 503, with the known outcome, as this gateway is shutting down."""
-        if self.is_over:
-            return
-        if self._cancel_unanswered(
-            AnswerKind.CANCELLED, "the gateway shut down during a long answer"
-        ):
-            self.finish_problem(
-                503,
-                "this gateway is shutting down",
-                "destination_unavailable",
-                SHUTDOWN_RETRY_AFTER_S,
-            )
-
-    def _cancel_unanswered(self, kind: AnswerKind, detail: str) -> bool:
-        """Cancel the attempts; return False after cutting off a streamed answer."""
-        self._may_have_run = self._is_sent()
-        is_streaming = any(attempt.is_streaming for attempt in self._attempts)
-        self._cancel_attempts(kind)
-        if is_streaming:
-            self.stream_cut(UpstreamError(detail))
-        return not is_streaming
-
     def answer_expected_late(self) -> None:
         """Start a hedged attempt if it may be answered in time."""
         if (
@@ -397,26 +288,6 @@
             "no second attempt", request_id=self.request_id, reason=reason
         )
 
-    def _finish_fallback(self, answer: Answer) -> None:
-        if self.services.dialect.falsely_promises_not_run(answer):
-            self.finish_problem(
-                502,
-                f"the upstream answered {answer.status} without stating that the "
-                "request has not run",
-                "http_response_incomplete",
-            )
-            return
-        if not self.says_not_run(answer):
-            self.finish(answer)
-            return
-        retry_after_s = self.services.retry_after_s(answer, "")
-        self.finish_problem(
-            503,
-            "the upstream did not run the request",
-            "destination_unavailable",
-            DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
-        )
-
     def _wants_no_requests(self, permit: Permit) -> bool:
         """Whether the upstream of a permit is in a pause; it is not tried again then.
 
@@ -453,19 +324,3 @@
             refused_for_s,
         )
         return True
-
-    def _is_sent(self) -> bool:
-        return self._may_have_run or any(attempt.is_sent for attempt in self._attempts)
-
-    def _cancel_attempts(self, kind: AnswerKind) -> None:
-        for attempt in list(self._attempts):
-            attempt.cancel(kind)
-        for pending in (self._pending_permit, self._pending_hedge_permit):
-            if pending is not None:
-                pending.cancel()
-
-    def _end(self, kind: AnswerKind) -> None:
-        self.is_over = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._cancel_attempts(kind)
