Show how clients that we don't control end a process

Cause: Nothing bounds what a gateway holds of its callers' requests. A crowd of bodies of legal size, whole, in pieces, chunked or stopping short of their end, takes memory for all of them, several times over; connections are bounded only by a fixed number.

Feature files that begin with @alone run after the others, one at a time.

Crowds and bounds stay as they are.

--- /dev/null
+++ b/features/platform/untrusted_clients.feature
@@ -0,0 +1,27 @@
+@alone
+Feature: A gateway of the platform bears clients that send far more than callers do
+
+  Background:
+    Given a gateway with 150 MB and 400 descriptors on a stand-in of the platform
+
+  # Each row is one way in which clients that nobody controls may send far more than
+  # callers do; guards against a process that they end, stop or shut to other callers.
+  Scenario Outline: A gateway bears <clients> clients that send <kind>
+    When <clients> clients send <kind>
+    Then an ordinary request is answered
+    And the process lives, and has used at most 150 MB and 200 descriptors
+
+    @known_red
+    Examples: held
+      | clients | kind                                |
+      | 48      | whole bodies                        |
+      | 48      | bodies in pieces                    |
+      | 48      | bodies that stop short              |
+      | 48      | large chunks that stop short        |
+      | 48      | small chunks that stop short        |
+      | 48      | endless chunks                      |
+      | 300     | heads that stop short               |
+
+    Examples: refused
+      | clients | kind                                |
+      | 48      | announced bodies far over the limit |
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,8 +1,9 @@
 """Runs every behave feature and prints the totals as the last line.
 
 Feature files run in parallel, one behave process each, with a fixed seed for Hypothesis
-and for hashing. Scenarios tagged ``@known_red`` are left out and printed; each must be
-listed in KNOWN-RED.txt.
+and for hashing. Those tagged ``@alone`` run after them, one at a time, as they measure
+what a process uses. Scenarios tagged ``@known_red`` are left out and printed; each must
+be listed in KNOWN-RED.txt.
 
 Example:
     ``python tools/run_features.py features/core`` runs the features below one folder.
@@ -21,6 +22,7 @@
 PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_S = 300
 KNOWN_RED_TAG = "known_red"
+ALONE_LINE = "@alone\n"
 
 
 class FeatureResult(NamedTuple):
@@ -97,8 +99,10 @@
         for root in roots
         for path in ([root] if root.is_file() else root.rglob("*.feature"))
     )
+    alone = [path for path in paths if path.read_text().startswith(ALONE_LINE)]
     with ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
-        results = list(pool.map(run_feature, paths))
+        results = list(pool.map(run_feature, [x for x in paths if x not in alone]))
+    results += [run_feature(path) for path in alone]
     known_red_page = Path("KNOWN-RED.txt")
     listed = known_red_page.read_text() if known_red_page.exists() else ""
     unlisted = 0
