Apply changes of keys to waiting requests and hide keys

Cause: a call kept the workspace of the version under which it had arrived, so that a request whose key was taken away while it waited would still have been sent. Texts with keys were printed in full by the client and by the operators' interface.

Change: each permit is followed by a look-up in the newest text. A key that was taken away ends the call with 401, one that moved asks for a permit under its new workspace. Claims are separate per workspace. Calls of backend servers need no key and state the workspace that they work for. show, diff and /config hide keys; a text with hidden keys is refused. Negative figures, prefixes without their last slash and keys of two workspaces make a configuration invalid; no message repeats a key.

Conclusion: a key that a version takes away is not served later, on an open connection and in a queue either.

--- a/features/e2e/client.feature
+++ b/features/e2e/client.feature
@@ -8,6 +8,20 @@
     Then the client exits with 0
     And the client's show command prints that comment
 
+  # Guards against keys on operators' screens and in the records of their terminals.
+  Scenario: Keys of workspaces are hidden unless they are asked for
+    When the operator applies the fleet's text with the workspace "one" and its key "k-7f21"
+    Then the client exits with 0
+    And the client's show command prints "hidden:" and not "k-7f21"
+    And the client's show command with "--with-keys" prints "k-7f21"
+    And no daemon shows "k-7f21" in its configuration
+
+  # Guards against a shown text that takes all keys away when it is applied again.
+  Scenario: A text with hidden keys is refused
+    When the operator applies the fleet's text with the workspace "one" and its key "hidden:5d7a32"
+    Then the client exits with 1
+    And the client's output names "show --with-keys"
+
   Scenario: A change based on another version is refused and names the earlier change
     When the operator applies the fleet's text with a new comment and base 99
     Then the client exits with 1
--- a/features/platform/records.feature
+++ b/features/platform/records.feature
@@ -63,12 +63,31 @@
       | a text as time      | config["routes"]["rows"][0][4] = "soon"                      |
       | no time             | config["routes"]["rows"][0][4] = 0                           |
       | weights of 0        | config["routes"]["rows"][1][9] = [{"service": "s", "weight": 0}] |
+      | a shared key        | config["tenants"]["rows"][1][1] = ["k-1"]                    |
+      | a tenant twice      | config["tenants"]["rows"][1][0] = "one"                      |
+      | an empty key        | config["tenants"]["rows"][1][1] = [""]                       |
+      | a name with a line break | config["tenants"]["rows"][1][0] = "a\nX: y"            |
+      | a negative quota    | config["tenants"]["rows"][0][3] = -1                         |
+      | a negative rank     | config["tenants"]["rows"][0][2] = -1                         |
+      | a negative limit    | config["limits"]["bodyBytes"] = -1                           |
+      | a negative time     | config["routes"]["rows"][0][4] = -5                          |
+      | a prefix without its last slash | config["routes"]["rows"][0][2] = "/x"            |
+      | two routes in one place | config["routes"]["rows"][1][2] = "/x/"                   |
 
   Scenario: A configuration gives routes, services and limits
     Then the configuration is decoded to 2 routes, 2 services and an idle time of 15000 ms
     And its route 0 is not idempotent with 2 attempts, a time limit of 600 and a target of 250 ms
     And its route 1 is split 90 to 10
 
+  Scenario: A configuration gives workspaces, their keys, ranks and quotas
+    Then workspace "one" has the keys "k-1 k-2", priority 0, 147 requests a second and a burst of 20
+    And workspace "two" has the keys "k-3", priority None, 0 requests a second and a burst of 0
+    And a configuration without tenants needs no keys
+
+  # Guards against keys in the log, where each refused configuration is reported.
+  Scenario: The reason of a refusal repeats no key
+    Then the refusal of the configuration changed by "config["tenants"]["rows"][1][1] = ["k-1"]" names "two" and no key
+
   # Guards against a process that starts with settings that lack values or have wrong types.
   Scenario Outline: Settings with <fault> are refused
     Then the node settings changed by "<change>" are refused
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -11,7 +11,13 @@
 from http import HTTPMethod
 
 from behave import given, then, when
-from datapath_support import TEXT, DataPath, new_text, split_answers
+from datapath_support import (
+    TEXT,
+    DataPath,
+    new_text,
+    split_answers,
+    workspaces_text,
+)
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 
@@ -274,6 +280,11 @@
     "text": lambda c, line: setattr(
         c.path.collaborators.active, "return_value", new_text(TEXT + line)
     ),
+    "keys": lambda c, words="": setattr(
+        c.path.collaborators.active,
+        "return_value",
+        new_text(TEXT + workspaces_text(words)),
+    ),
     "expect": lambda c, check: step_checks(c, check),
     "with": lambda c, lines: setattr(c, "headers", unescape(lines) + b"\r\n"),
     "refuse": lambda c, number: c.path.refused_hosts.add(f"127.0.0.{number}"),
@@ -347,6 +358,9 @@
     "sent": lambda c: str(
         sum(len(each.history) for each in c.path.upstream_transports)
     ),
+    "workspaces": lambda c: " ".join(
+        dict.fromkeys(each.workspace for each in c.path.permits.requests)
+    ),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from urllib.request import urlopen
 
 from behave import given, then, when
 
@@ -51,6 +52,15 @@
     apply_text(context, f"{context.fleet.shape.text}\n{context.comment}\n", *flags)
 
 
+@when(
+    'the operator applies the fleet\'s text with the workspace "{name}" and its key '
+    '"{key}"'
+)
+def step_apply_workspace(context, name, key):
+    lines = f'[workspaces.{name}]\nkeys = ["{key}"]\n'
+    apply_text(context, f"{context.fleet.shape.text}\n{lines}")
+
+
 @when("the operator applies the fleet's text with a new comment")
 def step_apply(context):
     apply_with_comment(context)
@@ -109,3 +119,25 @@
 def step_show_omits_comment(context):
     run_module(context, "banyanshelf_client", "show")
     assert context.comment not in context.output, context.output
+
+
+@then('the client\'s show command prints "{shown}" and not "{hidden}"')
+def step_show_hides(context, shown, hidden):
+    run_module(context, "banyanshelf_client", "show")
+    assert shown in context.output, context.output
+    assert hidden not in context.output, context.output
+
+
+@then('the client\'s show command with "{flag}" prints "{shown}"')
+def step_show_with(context, flag, shown):
+    run_module(context, "banyanshelf_client", "show", flag)
+    assert shown in context.output, context.output
+
+
+@then('no daemon shows "{hidden}" in its configuration')
+def step_daemon_configuration(context, hidden):
+    for daemon_id in context.fleet.daemon_ids:
+        address = context.fleet.operator_address(daemon_id)
+        content = urlopen(f"http://{address}/config", timeout=10).read().decode()
+        assert "one" in content, content
+        assert hidden not in content, content
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -41,6 +41,17 @@
     return ActiveText(7, "digest", parse_text(text))
 
 
+def workspaces_text(words):
+    """Return the lines that give keys to workspaces, as in ``one=k-1,k-2 two=``."""
+    lines = ["[workspaces]"]
+    for word in words.split():
+        name, _, keys = word.partition("=")
+        lines.append(
+            f"{name} = {{ keys = {[each for each in keys.split(',') if each]} }}"
+        )
+    return "\n".join(lines)
+
+
 class _Transport(StringTransport):
     """Keeps the written bytes; closes in the reactor iteration after the request to."""
 
--- a/features/steps/platform_record_steps.py
+++ b/features/steps/platform_record_steps.py
@@ -40,6 +40,13 @@
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
+    "tenants": {
+        "columns": ["name", "apiKeys", "priority", "requestsPerS", "burst"],
+        "rows": [
+            ["one", ["k-1", "k-2"], 0, 147, 20],
+            ["two", ["k-3"], None, None, None],
+        ],
+    },
     "baseVersion": 5,
 }
 NODE = {
@@ -170,6 +177,37 @@
     assert [part.weight for part in split] == [first, second], split
 
 
+@then(
+    'workspace "{name}" has the keys "{keys}", priority {priority}, {rate:g} requests '
+    "a second and a burst of {burst:g}"
+)
+def step_workspace(context, name, keys, priority, rate, burst):
+    found = configuration(CONFIGURATION).text.workspaces[name]
+    assert found.keys == keys.split(), found.keys
+    assert str(found.priority) == priority, found.priority
+    assert (found.requests_per_s, found.burst) == (rate, burst)
+    assert "k-" not in repr(found), found
+
+
+@then("a configuration without tenants needs no keys")
+def step_no_workspaces(context):
+    record = changed("config", CONFIGURATION, 'del config["tenants"]')
+    assert configuration(record).text.workspaces is None
+
+
+@then(
+    'the refusal of the configuration changed by "{change}" names "{name}" and no key'
+)
+def step_refusal_without_key(context, change, name):
+    try:
+        configuration(changed("config", CONFIGURATION, change))
+    except StoreRecordError as error:
+        assert name in str(error), error
+        assert "k-" not in str(error), error
+        return
+    raise AssertionError("the configuration was accepted")
+
+
 @then('the node settings changed by "{change}" are refused')
 def step_settings_refused(context, change):
     try:
--- a/packages/banyanshelf-client/src/banyanshelf_client/main.py
+++ b/packages/banyanshelf-client/src/banyanshelf_client/main.py
@@ -112,10 +112,15 @@
             ),
         )
 
-    def show(self, version: int | None = None) -> Plan:
-        """Print the accepted text, or that of an earlier version."""
+    def show(self, version: int | None = None, with_keys: bool = False) -> Plan:
+        """Print the accepted text, or that of an earlier version.
+
+        The keys of workspaces are hidden; ``apply`` needs a text ``--with-keys``.
+        """
         return self._with_store(
-            lambda store, _: store_commands.show_text(store, self._output, version),
+            lambda store, _: store_commands.show_text(
+                store, self._output, version, with_keys=with_keys
+            ),
         )
 
     def history(self, limit: int = 20) -> Plan:
--- a/packages/banyanshelf-client/src/banyanshelf_client/store_commands.py
+++ b/packages/banyanshelf-client/src/banyanshelf_client/store_commands.py
@@ -36,6 +36,7 @@
     part_key,
 )
 from banyanshelf_core.text import parse_text
+from banyanshelf_core.workspace_text import hide_keys
 from banyanshelf_daemon.store_client import StoreClient
 
 
@@ -181,10 +182,17 @@
     store: StoreClient,
     output: Output,
     version: int | None,
+    *,
+    with_keys: bool,
 ) -> ExitCode:
-    """Print a version's text, by default the accepted one."""
+    """Print a version's text, by default the accepted one.
+
+    The keys of workspaces are hidden unless ``with_keys``.
+    """
     head = await read_head(store, version)
     text = await read_text(store, head)
+    if not with_keys:
+        text = hide_keys(text)
     output.result(
         text.rstrip("\n"), version=head.version, digest=head.digest, text=text
     )
@@ -194,11 +202,13 @@
 async def show_diff(store: StoreClient, output: Output, content: str) -> ExitCode:
     """Print a unified diff from the accepted text to ``content``.
 
-    The exit code is 1 if the text is not valid.
+    Keys of workspaces are hidden; different ones look different. The exit code is 1 if
+    the text is not valid.
     """
     parse_text(content)
     head = await read_head(store)
-    accepted = await read_text(store, head)
+    accepted = hide_keys(await read_text(store, head))
+    content = hide_keys(content)
     lines = list(
         difflib.unified_diff(
             accepted.splitlines(),
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from banyanshelf_core.errors import TextError
+from banyanshelf_core.workspace_text import check_workspaces
 
 PolicyName = Literal["permits", "random", "two_choices", "reports", "shared_load"]
 
@@ -133,6 +134,10 @@
     requests_per_s: float = 0.0
     burst: float = 0.0
 
+    def __repr__(self) -> str:
+        """Return a description without the keys, as it may be logged."""
+        return f"Workspace(<{len(self.keys)} keys>)"
+
 
 class Measuring(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Budgets for probes and for control traffic.
@@ -212,7 +217,7 @@
         _check_service(name, service, text.services)
     _check_no_shared_match(text.services)
     _check_entry_routes(text)
-    _check_workspaces(text.workspaces or {})
+    check_workspaces(text.workspaces or {})
     _check_acyclic(text.services)
 
 
@@ -321,11 +326,11 @@
                 f"path prefix {route.path_prefix!r} has no leading slash",
                 "start it with /",
             )
-        if route.timeout_ms < 1 or route.max_attempts < 1:
+        if route.timeout_ms < 1 or route.max_attempts < 1 or route.priority < 0:
             raise TextError(
                 where,
-                "timeout_ms and max_attempts must be positive",
-                "write at least 1",
+                "timeout_ms and max_attempts must be positive, priority not negative",
+                "write at least 1, or 0 for the highest priority",
             )
         if route.split and (
             min(part.weight for part in route.split) < 0
@@ -345,28 +350,6 @@
                 )
 
 
-def _check_workspaces(workspaces: dict[str, Workspace]) -> None:
-    owner_by_key: dict[str, str] = {}
-    for name, workspace in workspaces.items():
-        where = f"workspaces.{name}"
-        for key in workspace.keys:
-            # The message must not repeat the key, as it is logged.
-            if not key:
-                raise TextError(where, "a key is empty", "remove it")
-            if owner_by_key.setdefault(key, name) != name:
-                raise TextError(
-                    where,
-                    f"workspace {owner_by_key[key]!r} has one of its keys",
-                    "give each key to one workspace",
-                )
-        if workspace.requests_per_s < 0 or workspace.burst < 0:
-            raise TextError(
-                where,
-                "requests_per_s and burst must not be negative",
-                "write 0 for no quota",
-            )
-
-
 def _check_acyclic(services: dict[str, Service]) -> None:
     finished: set[str] = set()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -37,7 +37,7 @@
 # A kept connection may have gone silent without its upstream. After this time the probe
 # is sent on a new one, which also shows soon whether the host is down.
 KEPT_PROBE_TIMEOUT_S = 0.3
-# Retry-After until the first configuration text has arrived from the store or a peer.
+# Retry-After until a configuration text has arrived from the store or a peer.
 STARTUP_RETRY_AFTER_S = 1.0
 
 
@@ -111,17 +111,12 @@
             route = self._matcher_for(active).match(
                 request.host, request.path, request.method, request.value_by_name
             )
-            keys = self.services.workspace_keys(active)
-            if trust_internal_headers:
-                # Calls of backend servers need no key.
-                route = keys.assign(route, context.workspace)
-            else:
-                key = self.services.dialect.workspace_key(request)
-                route = keys.admit(route, key)
+            route = self.services.with_workspace(active, route, request, context)
             if not route.idempotent:
                 _check_key(request, route)
         except RequestError as error:
-            self._answer_refusal(exchange, error, request_id)
+            retry_after_s = STARTUP_RETRY_AFTER_S if error.status == 503 else None
+            self._answer_refusal(exchange, error, request_id, retry_after_s)
             return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -9,6 +9,7 @@
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.crash_guard import request_fingerprint
+from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RouteDecision
 from banyanshelf_core.model import AnswerKind, UpstreamId
 from banyanshelf_daemon.attempt import Attempt
@@ -24,6 +25,7 @@
     forwarded_request,
 )
 from banyanshelf_daemon.interfaces import ActiveText, Permit, PermitRequest
+from banyanshelf_daemon.metrics import escape_metric_name
 
 # A timeout counts as the upstream's failure only if the attempt had this many times the
 # 95th percentile of the service time left.
@@ -127,6 +129,21 @@
             ),
         )
 
+    def key_problem(self) -> RequestError | None:
+        """Look the key up in the newest text; return why it admits no more requests.
+
+        A key that another workspace holds now changes ``workspace`` and ``priority``.
+        """
+        active = self.services.active() or self.active
+        try:
+            route = self.services.with_workspace(
+                active, self.route, self.request, self._context
+            )
+        except RequestError as error:
+            return error
+        self.workspace, self.priority = route.workspace, route.priority
+        return None
+
     def serialized_request(self, upstream_id: UpstreamId) -> bytes:
         """Return the bytes of the request for an upstream."""
         remaining_s = self.deadline - self.now() - DEADLINE_MARGIN_S
@@ -183,6 +200,10 @@
                 self._service_state.added_metric, (total_s - service_time_s) * 1000
             )
         metrics.count(f"{self._service_state.status_metric}{status}")
+        if self.workspace:
+            # Only names of the operators' text occur, so that their number is bounded.
+            name = escape_metric_name(self.workspace)
+            metrics.count(f"workspace.{name}.status.{status}")
 
     def answer_expected_late(self) -> None:
         """Handle that the answer is expected after the target; does nothing here."""
@@ -194,6 +215,8 @@
         if attempt is not None:
             fields["upstream"] = attempt.permit.upstream.id
             fields["service_ms"] = round(attempt.service_time_s * 1000, 1)
+        if self.workspace:
+            fields["workspace"] = self.workspace
         self.services.log.event(
             "answered",
             request_id=self.request_id,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from banyanshelf_core.caller_waits import CallerWaitEstimator
-from banyanshelf_core.errors import RequestLimitError, RetryAfterError
+from banyanshelf_core.errors import RequestError, RequestLimitError, RetryAfterError
+from banyanshelf_core.matching import RouteDecision
 from banyanshelf_core.model import Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
 from banyanshelf_core.retry_after import (
@@ -21,8 +22,8 @@
 from banyanshelf_core.workspaces import WorkspaceKeys
 from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
-from banyanshelf_daemon.dialect import Dialect, NativeDialect
-from banyanshelf_daemon.http_message import Answer, AnswerHead
+from banyanshelf_daemon.dialect import CallContext, Dialect, NativeDialect
+from banyanshelf_daemon.http_message import Answer, AnswerHead, Request
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ClaimService,
@@ -113,6 +114,8 @@
         self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
         self._sweep_call: Any = None
+        # Whether a key that was taken away some time ago would be refused by now
+        self.are_keys_current: Callable[[], bool] = lambda: True
         self._keys: WorkspaceKeys | None = None
         self._keys_text: ActiveText | None = None
         directory.on_upstreams_change(self._drop_unknown_pools)
@@ -121,12 +124,29 @@
         """Return the active configuration text."""
         return self._configuration.active()
 
-    def workspace_keys(self, active: ActiveText) -> WorkspaceKeys:
-        """Return the keys of workspaces in the active text."""
+    def with_workspace(
+        self,
+        active: ActiveText,
+        route: RouteDecision,
+        request: Request,
+        context: CallContext,
+    ) -> RouteDecision:
+        """Return the route with the workspace of the request, by the active text.
+
+        Raises :class:`RequestError` with 401 if the request needs a key and its own is
+        unknown, and with 503 if its key may have been taken away since.
+        """
         if self._keys is None or self._keys_text is not active:
             self._keys = WorkspaceKeys.from_text(active.text)
             self._keys_text = active
-        return self._keys
+        if context.is_backend_server:
+            return self._keys.assign(route, context.workspace)
+        route = self._keys.admit(route, self.dialect.workspace_key(request))
+        if route.workspace and not self.are_keys_current():
+            raise RequestError(
+                503, "this gateway cannot tell whether the key is still valid"
+            )
+        return route
 
     def state_for(self, service_name: str, service: Service) -> ServiceState:
         """Return the state of a service; changed settings start a new retry budget."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
@@ -174,11 +174,15 @@
         )
 
     def _key_digest(self) -> str:
-        return _digest(
+        parts = [
             self.route.service_name.encode(),
             self.route.credential,
             self.route.key or b"",
-        )
+        ]
+        if self.route.workspace:
+            # A workspace must not get the answers of another one.
+            parts.append(self.route.workspace.encode())
+        return _digest(*parts)
 
     def _stored(self, status: int, answer: Answer | None) -> StoredAnswer:
         if answer is None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -13,6 +13,7 @@
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RequestMatcher
 from banyanshelf_core.model import Member, Upstream, UpstreamState
+from banyanshelf_core.workspace_text import without_keys
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -224,7 +225,7 @@
         active = self.cluster.active()
         if active is None:
             return {"version": 0, "digest": "", "text": None}
-        return active._asdict()
+        return {**active._asdict(), "text": without_keys(active.text)}
 
     def _explain(self, host: str, path: str, method: str) -> dict[str, Any]:
         active = self.cluster.active()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -32,13 +32,15 @@
 class CallContext(NamedTuple):
     """What a caller states about a call; ``deadline_s`` is how long it waits.
 
-    ``workspace`` is the one that a backend server states for a call of its own.
+    ``is_backend_server`` is true for a call of a backend server, which needs no key;
+    ``workspace`` is the one that it states.
     """
 
     caller_service: str = ""
     depth: int = 0
     deadline_s: float | None = None
     workspace: WorkspaceName = ""
+    is_backend_server: bool = False
 
 
 NO_CONTEXT = CallContext()
@@ -160,6 +162,7 @@
             header_number(values, b"banyanshelf-depth") or 0,
             None if deadline_ms is None else deadline_ms / 1000,
             values.get(_WORKSPACE, b"").decode("utf-8", "replace"),
+            is_backend_server=True,
         )
 
     def request_id(self, request: Request) -> str:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/problem.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/problem.py
@@ -12,6 +12,8 @@
 from banyanshelf_daemon.http_message import Answer, header
 
 PROXY_NAME = "banyanshelf"
+# RFC 9110, section 11.6.1: a 401 names what a request has to carry.
+AUTHENTICATION_SCHEME = "Banyanshelf-Workspace-Key"
 
 
 def problem_answer(
@@ -42,6 +44,8 @@
         header("Content-Type", "application/problem+json"),
         header("Proxy-Status", f"{PROXY_NAME}; error={error}"),
     ]
+    if status == HTTPStatus.UNAUTHORIZED:
+        headers.append(header("WWW-Authenticate", AUTHENTICATION_SCHEME))
     if retry_after_s is not None:
         seconds = max(1, math.ceil(retry_after_s))
         headers.append(header("Retry-After", str(seconds)))
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -218,6 +218,8 @@
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
+        if self._has_lost_key(permit):
+            return
         if self._wants_no_requests(permit):
             self.release_unused(permit)
             self.admit()
@@ -369,6 +371,8 @@
         reason = ""
         if self._left_quarantine_s() is not None:
             reason = "the request has crashed upstreams"
+        elif self.key_problem() is not None:
+            reason = "the key of the request was taken away"
         elif self._wants_no_requests(permit):
             reason = "the upstream wants no requests"
         if reason:
@@ -417,6 +421,31 @@
             DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
         )
 
+    def _has_lost_key(self, permit: Permit) -> bool:
+        """Whether the key has changed hands since; the permit is released then.
+
+        Texts may have come into effect while the call waited for the permit.
+        """
+        workspace = self.workspace
+        problem = self.key_problem()
+        if problem is None and self.workspace == workspace:
+            return False
+        self.release_unused(permit)
+        if problem is None:
+            # The permit counts towards the quota of the former workspace.
+            self.admit()
+        elif self._fallback_answer is not None:
+            self._finish_fallback(self._fallback_answer)
+        elif not self._attempts:
+            self.services.metrics.count(f"request.refused.{problem.status}")
+            self.finish_problem(
+                problem.status,
+                problem.detail,
+                "http_request_denied",
+                DEFAULT_RETRY_AFTER_S if problem.status == 503 else None,
+            )
+        return True
+
     def _wants_no_requests(self, permit: Permit) -> bool:
         """Whether the upstream of a permit is in a pause; it is not tried again then.
 
