--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -32,13 +32,15 @@
 class CallContext(NamedTuple):
     """What a caller states about a call; ``deadline_s`` is how long it waits.
 
-    ``workspace`` is the one that a backend server states for a call of its own.
+    ``is_backend_server`` is true for a call of a backend server, which needs no key;
+    ``workspace`` is the one that it states.
     """
 
     caller_service: str = ""
     depth: int = 0
     deadline_s: float | None = None
     workspace: WorkspaceName = ""
+    is_backend_server: bool = False
 
 
 NO_CONTEXT = CallContext()
@@ -103,7 +105,7 @@
     def probe_rules(self) -> AnswerRules:
         """Return the rules that tell a probe's answer from those to calls."""
 
-    def falsely_promises_not_run(self, answer: Answer) -> bool:
+    def falsely_promises_not_run(self, head: Answer | AnswerHead) -> bool:
         """Whether an answer tells callers that a call has not run, without proof."""
 
     def says_not_run(self, head: Answer | AnswerHead) -> bool:
@@ -160,6 +162,7 @@
             header_number(values, b"banyanshelf-depth") or 0,
             None if deadline_ms is None else deadline_ms / 1000,
             values.get(_WORKSPACE, b"").decode("utf-8", "replace"),
+            is_backend_server=True,
         )
 
     def request_id(self, request: Request) -> str:
@@ -199,7 +202,7 @@
         """Skip answers that name a request, as a probe has no id."""
         return AnswerRules(_REQUEST_ID, b"", self.says_not_run)
 
-    def falsely_promises_not_run(self, answer: Answer) -> bool:
+    def falsely_promises_not_run(self, head: Answer | AnswerHead) -> bool:
         """Return False, as only ``Upstream-Outcome`` states that a call has not run."""
         return False
 
