--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -246,6 +246,31 @@
     pause_s: Seconds = 0.0
 
 
+class RoomQuery(msgspec.Struct, array_like=True, tag=24, frozen=True):
+    """Asks another zone for room for calls of ``services``.
+
+    A gateway that places no calls forwards the query once to the one that places its
+    calls; the answer goes to ``reply_to``.
+    """
+
+    reply_to: str
+    sender: MemberId
+    services: list[ServiceName]
+    is_forwarded: bool = False
+
+
+class RoomOffer(msgspec.Struct, array_like=True, tag=25, frozen=True):
+    """Answers :class:`RoomQuery` for the zone of the sender.
+
+    ``calls_by_service`` is how many calls the receiver may send until the next answer,
+    and ``reports`` are the loads of upstreams that have room.
+    """
+
+    zone: str
+    calls_by_service: dict[ServiceName, Count]
+    reports: dict[UpstreamId, ReportRow] = {}
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -260,4 +285,6 @@
     | DepartureNotice
     | CrashDigest
     | UpstreamStatement
+    | RoomQuery
+    | RoomOffer
 )
