Keep the quotas of workspaces over all gateways

Cause: a workspace may send its quota over all gateways together, and no gateway counts for the others.

Change: each zone has a bank at its first-ranked gateway, which is the aggregator of a large zone. It gains a fixed part of each quota and borrows what other zones do not need. Gateways of small zones draw batches. Over the quota, calls are refused with 429 and the time at which the bank has room. The platform's settings name the exactness and the zones. Token buckets of upstreams' limits and of quotas share their code.

--- a/features/steps/any_datagram_steps.py
+++ b/features/steps/any_datagram_steps.py
@@ -94,6 +94,8 @@
     3: (_TEXT, _TEXT, _TEXT, _BOOL),
     4: (_TEXT, _COUNTS, _RESULTS, _ROWS, _INT, _FLOAT),
     8: (_TEXT, _NAMES),
+    14: (_TEXT, _TEXT, _INT, _COUNTS, _COUNTS, _BOOL),
+    15: (_INT, _TEXT, _COUNTS),
 }
 _DATAGRAMS = strategies.one_of(
     [
--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -23,14 +23,20 @@
 
     def __init__(self, upstreams):
         self.upstreams = upstreams
-        text = SimpleNamespace(services={SERVICE: None})
+        text = SimpleNamespace(services={SERVICE: None}, workspaces=None)
         self.text = SimpleNamespace(text=text)
+        self.handlers = []
 
     def active(self):
         return self.text
 
     def on_change(self, handler):
-        pass
+        self.handlers.append(handler)
+
+    def set_workspaces(self, workspaces):
+        self.text.text.workspaces = workspaces
+        for handler in self.handlers:
+            handler(self.text)
 
     def on_upstreams_change(self, handler):
         pass
@@ -95,7 +101,7 @@
         self.sharings[name].note_load_report(upstream.id, report)
         return succeed(True)
 
-    def place(self, name, target_s=TARGET_S):
+    def place(self, name, target_s=TARGET_S, workspace=""):
         """Start a call; its result arrives after some steps of the clock."""
         now = self.reactor.seconds()
         request = PermitRequest(
@@ -110,6 +116,8 @@
             now + target_s,
             0,
             lambda: self._note_late(call),
+            workspace,
+            True,
         )
         call = SimulatedCall(self, name, self.sharings[name].acquire(SERVICE, request))
         self.calls.append(call)
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -246,6 +246,40 @@
     pause_s: Seconds = 0.0
 
 
+Counts = dict[WorkspaceName, Count]
+
+
+class QuotaDraw(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """Asks the bank of a zone for requests of workspaces' quotas.
+
+    ``wanted`` and ``returned`` are counts by workspace; the latter were granted earlier
+    and were not used. A gateway that is not the bank forwards the draw once; the answer
+    goes to ``reply_to``. A ``number`` of 0 needs no answer.
+    """
+
+    reply_to: str
+    zone: str
+    number: Count
+    wanted: Counts
+    returned: Counts = {}
+    is_forwarded: bool = False
+
+
+class QuotaGrant(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """Answers :class:`QuotaDraw`.
+
+    ``granted`` may be used for ``valid_s`` from the time of the draw. ``waits`` holds
+    when callers of the other workspaces should return, in seconds. ``zone`` is that of
+    the bank; it is empty if the gateway that was asked knows no bank.
+    """
+
+    number: int
+    zone: str
+    granted: Counts
+    waits: dict[WorkspaceName, Seconds] = {}
+    valid_s: Seconds = 0.0
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -260,4 +294,6 @@
     | DepartureNotice
     | CrashDigest
     | UpstreamStatement
+    | QuotaDraw
+    | QuotaGrant
 )
--- a/packages/banyanshelf-core/src/banyanshelf_core/gossip.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/gossip.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -127,14 +128,21 @@
         """Whether this gateway has seeds and has never heard from another gateway."""
         return bool(self._seeds) and not self._was_answered
 
-    def reachable_share(self) -> float:
+    def reachable_share(self, heard_since: float = -math.inf) -> float:
         """Return the reachable part of the zone's gateways.
 
         Those that were lost without notice in the last ``LOST_MEMBER_HOLD_S`` count as
-        unreachable.
+        unreachable, as do those that have not been heard from after ``heard_since``.
         """
-        reachable = len(self.zone_members_by_id()) + 1
-        return reachable / (reachable + len(self._lost_at_by_id))
+        zone = self.identity.zone
+        members = [x for x in self._known_by_id.values() if x.member.zone == zone]
+        reachable = sum(each.last_heard_at >= heard_since for each in members) + 1
+        return reachable / (len(members) + 1 + len(self._lost_at_by_id))
+
+    def heard_at(self, member_id: MemberId) -> float:
+        """Return when a member was last heard from, or -inf if it is not known."""
+        known = self._known_by_id.get(member_id)
+        return -math.inf if known is None else known.last_heard_at
 
     def note_departure(self, member_id: MemberId, incarnation: int) -> None:
         """Record that a member is shutting down."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/request_rate.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/request_rate.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from banyanshelf_core.model import UpstreamId
+from banyanshelf_core.token_bucket import TokenBucket
 
 # Unused requests are kept for this long, but at least one of them.
 BURST_S = 0.5
@@ -23,10 +24,7 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
-    per_s: float
-    available: float
-    updated_at: float
+class _Bucket(TokenBucket):
     taken_at: float
 
 
@@ -69,10 +67,7 @@
             bucket = _Bucket(per_s, 0.0, now, now)
             self._bucket_by_upstream[upstream_id] = bucket
             return bucket
-        gained = bucket.per_s * max(0.0, now - bucket.updated_at)
-        capacity = max(1.0, BURST_S * per_s)
-        bucket.available = min(capacity, bucket.available + gained)
-        bucket.per_s, bucket.updated_at = per_s, now
+        bucket.refill(now, per_s, max(1.0, BURST_S * per_s))
         return bucket
 
     def _drop_unused(self, now: float) -> None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -71,6 +71,8 @@
         self._used_upstreams: frozenset[UpstreamId] = frozenset()
         self._attempts: list[Attempt] = []
         self._attempt_count = 0
+        # Whether the call has drawn on the quota of its workspace
+        self._is_counted = False
         self._pending_permit: Deferred[Permit] | None = None
         self._pending_hedge_permit: Deferred[Permit] | None = None
         self._fallback_answer: Answer | None = None
@@ -123,7 +125,7 @@
                 self.priority,
                 self.answer_expected_late if self.route.idempotent else None,
                 self.workspace,
-                not self._attempt_count,
+                not self._is_counted,
             ),
         )
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
@@ -149,6 +149,11 @@
         """Whether this gateway has selected itself as the aggregator."""
         return self._aggregator is not None and self._aggregator.id == self._identity.id
 
+    @property
+    def aggregator(self) -> Member | None:
+        """The aggregator of a large zone, which may be this gateway."""
+        return self._aggregator
+
     @property
     def peer_aggregator(self) -> Member | None:
         """The other gateway that places this gateway's calls, if any."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -31,7 +31,11 @@
 )
 from banyanshelf_core.placement.decisions import PlacementRequest
 from banyanshelf_daemon.gossip_link import GossipLink
-from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    Permit,
+    QuotaExceededError,
+)
 
 # Within a zone a reply takes about 1 ms, and up to 30 ms more if upstreams of a remote
 # zone are probed first.
@@ -211,7 +215,14 @@
     def _refused(self, failure: Failure, number: int, address: str) -> None:
         failure.trap(NotAdmittedError)
         error = failure.value
-        answer = PlacementReply(number, True, "", error.reason, error.retry_after_s)
+        answer = PlacementReply(
+            number,
+            True,
+            "",
+            error.reason,
+            error.retry_after_s,
+            is_over_quota=isinstance(error, QuotaExceededError),
+        )
         self._gossip.send_to([address], answer)
 
     def _end(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -16,7 +16,11 @@
 from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S, CallState
 from banyanshelf_daemon.dialect import Refusal
 from banyanshelf_daemon.http_message import Answer, AnswerHead, header_value
-from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    Permit,
+    QuotaExceededError,
+)
 from banyanshelf_daemon.problem import PROXY_NAME
 
 # A caller that tries again is sent to another gateway by then.
@@ -214,6 +218,7 @@
 
     def _admitted(self, permit: Permit) -> None:
         self._pending_permit = None
+        self._is_counted = True
         # Crashes may have been noticed while the call waited.
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
@@ -264,6 +269,15 @@
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
             return
+        if isinstance(failure.value, QuotaExceededError):
+            # Nothing was sent: only the first permit of a call draws on the quota.
+            self.finish_problem(
+                429,
+                str(failure.value),
+                "http_request_denied",
+                failure.value.retry_after_s,
+            )
+            return
         retry_after_s = DEFAULT_RETRY_AFTER_S
         if isinstance(failure.value, NotAdmittedError):
             retry_after_s = failure.value.retry_after_s
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -34,6 +34,7 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.quota_bank import QuotaTerms
 from banyanshelf_core.replica import StorePosition
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.background import PeriodicTask
@@ -46,9 +47,11 @@
     Permit,
     PermitRequest,
     ProbeSender,
+    QuotaExceededError,
     UpstreamDirectory,
 )
 from banyanshelf_daemon.load_sharing import LoadSharing
+from banyanshelf_daemon.quota_limiter import QuotaLimiter
 from banyanshelf_daemon.remote_placement import (
     NoPlacementError,
     PlacementClient,
@@ -104,7 +107,8 @@
 
     In a large zone the aggregator places the calls of all gateways. ``probe`` sends a
     health probe; see :class:`~.health_questions.HealthProber`. ``store_state`` is
-    described at :class:`~.load_sharing.LoadSharing`.
+    described at :class:`~.load_sharing.LoadSharing`, ``quota_clock`` at
+    :class:`~.quota_keeper.QuotaKeeper`.
     """
 
     def __init__(
@@ -117,6 +121,8 @@
         rng: random.Random,
         probe: ProbeSender,
         store_state: Callable[[], tuple[StorePosition, float]],
+        quota_terms: QuotaTerms | None = None,
+        quota_clock: Callable[[], float] | None = None,
     ) -> None:
         self._reactor = reactor
         self._directory = directory
@@ -144,6 +150,15 @@
             reactor, zone, self.loads, self._sharing, gossip, self._limiter, probe
         )
         self._placer = CallPlacer(reactor, self._prober, self._limiter)
+        self.quotas = QuotaLimiter(
+            reactor,
+            gossip,
+            configuration,
+            quota_terms or QuotaTerms(),
+            lambda: self._sharing.aggregator,
+            rng,
+            quota_clock,
+        )
         self._ticker = PeriodicTask(reactor, self._tick, "admission")
 
     def start(self) -> None:
@@ -151,11 +166,13 @@
         self.loads.start()
         self._ticker.start(TICK_INTERVAL_S)
         self._sharing.start()
+        self.quotas.start()
 
     def stop(self) -> None:
         """Stop the periodic tasks."""
         self._ticker.stop()
         self._sharing.stop()
+        self.quotas.stop()
 
     def announce_departure(self) -> None:
         """Tell the other gateways that this one is shutting down."""
@@ -205,6 +222,8 @@
             return self._place(service_name, selector, placement_request, on_late)
 
         def placed(answer: PlacementReply) -> Permit | Deferred[Permit]:
+            if answer.is_over_quota:
+                raise QuotaExceededError(answer.reason, answer.retry_after_s)
             if not answer.upstream:
                 raise NotAdmittedError(answer.reason, answer.retry_after_s)
             upstream = self._directory.upstreams_by_id(service_name).get(
@@ -215,7 +234,9 @@
             is_live = upstream is not None and upstream.state is UpstreamState.LIVE
             if upstream is None or not is_live or is_paused:
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
-                return place_here()
+                # The aggregator has counted the call.
+                counted = placement_request._replace(counts_toward_quota=False)
+                return self._place(service_name, selector, counted, on_late)
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
             attempt = _running_attempt(upstream.id, progress_s, placement_request)
@@ -283,7 +304,16 @@
                 _basis(found),
             )
 
-        return self._placer.place(selector, placement_request).addCallback(placed)
+        def refused(failure: Failure) -> Failure:
+            self.quotas.give_back(placement_request)
+            return failure
+
+        def place(_admitted: None) -> Deferred[Permit]:
+            placing = self._placer.place(selector, placement_request)
+            return placing.addCallbacks(placed, refused)
+
+        admission = self.quotas.admit(placement_request)
+        return place(None) if admission is None else admission.addCallback(place)
 
     def release(self, permit: Permit, sample: AnswerSample) -> None:
         """Count the end of a call; further releases have no effect."""
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from banyanshelf_core.datagrams import Datagram, Greeting, LimitQuery, ZoneDigest
+from banyanshelf_core.datagrams import (
+    Datagram,
+    Greeting,
+    LimitQuery,
+    QuotaDraw,
+    ZoneDigest,
+)
 from banyanshelf_core.errors import CodecError
 
 # Fits into one Ethernet frame, as the loss of one fragment loses the whole datagram.
@@ -44,7 +50,7 @@
             addresses = [row[1] for row in [datagram.sender, *datagram.members]]
         case ZoneDigest():
             addresses = [row[1] for row in datagram.members]
-        case LimitQuery():
+        case LimitQuery() | QuotaDraw():
             addresses = [datagram.reply_to]
         case _:
             return
