--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -11,7 +11,13 @@
 from http import HTTPMethod
 
 from behave import given, then, when
-from datapath_support import TEXT, DataPath, new_text, split_answers
+from datapath_support import (
+    TEXT,
+    DataPath,
+    new_text,
+    split_answers,
+    workspaces_text,
+)
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 
@@ -239,6 +245,7 @@
         step_events(context, "GET /warm >> wait 0.01 >> 200 warm")
     for transport in context.path.upstream_transports:
         transport.history.clear()
+    context.caller.clear()
 
 
 def on_completed(context, body=None):
@@ -262,6 +269,26 @@
     context.path.settle()
 
 
+def on_begin_long(context, length):
+    """Answer the request that has waited longest up to its last 100,000 bytes."""
+    head = f"HTTP/1.1 200 OK\\r\\nContent-Length: {length}\\r\\n\\r\\n"
+    on_upstream(context, head)
+    context.long_transport = context.transport
+    context.path.answer(context.transport, b"y" * (int(length) - 100_000))
+
+
+def on_end_long(context):
+    context.path.answer(context.long_transport, b"y" * 100_000)
+
+
+def on_expected_late(context):
+    """Expect the answers of all calls after their targets."""
+    for request in context.path.permits.requests:
+        if request.on_late is not None:
+            request.on_late()
+    context.path.settle()
+
+
 EVENTS = {
     "stop_within": lambda c, seconds: c.path.handler.refuse_calls_beyond(
         c.path.reactor.seconds() + float(seconds)
@@ -274,6 +301,11 @@
     "text": lambda c, line: setattr(
         c.path.collaborators.active, "return_value", new_text(TEXT + line)
     ),
+    "keys": lambda c, words="": setattr(
+        c.path.collaborators.active,
+        "return_value",
+        new_text(TEXT + workspaces_text(words)),
+    ),
     "expect": lambda c, check: step_checks(c, check),
     "with": lambda c, lines: setattr(c, "headers", unescape(lines) + b"\r\n"),
     "refuse": lambda c, number: c.path.refused_hosts.add(f"127.0.0.{number}"),
@@ -347,6 +379,9 @@
     "sent": lambda c: str(
         sum(len(each.history) for each in c.path.upstream_transports)
     ),
+    "workspaces": lambda c: " ".join(
+        dict.fromkeys(each.workspace for each in c.path.permits.requests)
+    ),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
@@ -370,6 +405,7 @@
         f"{c.path.permits.requests[-1].depth} "
         f"{c.path.permits.requests[-1].caller_service}".strip()
     ),
+    "calls_left": lambda c: str(c.path.factory.calls_in_progress),
     "calls": lambda c: f"{c.path.factory.calls_in_progress} {c.drained.called}",
     "probe": lambda c: " ".join(c.probe),
     "got": lambda c, line: line.encode() in c.request.split(b"\r\n"),
