--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -10,6 +10,27 @@
     Then the upstream gets at most 400 ms and its own id as the expected instance
     And the upstream gets the attempt id and none of the gateway's internal fields
 
+  # Guards against a caller that names a workspace of its choice, and against a key that
+  # reaches upstreams; the fields are spelled in several ways and repeated.
+  Scenario Outline: The upstream gets <expected> as the workspace for <case>
+    Given the platform's text with <tenants>
+    When a client sends "<path>" with the key "<key>" and workspaces of its own choice
+    Then the upstream gets the workspace "<workspace>" and no key
+
+    Examples:
+      | expected | case                                     | tenants       | path      | key | workspace |
+      | its name | a known key                              | keys one=k-1  | /safe/1   | k-1 | one       |
+      | nothing  | an anonymous route                       | keys one=k-1  | /open/1   |     |           |
+      | nothing  | an unknown key on an anonymous route     | keys one=k-1  | /open/1   | k-9 |           |
+      | its name | a known key on an anonymous route        | keys one=k-1  | /open/1   | k-1 | one       |
+      | nothing  | a configuration without workspaces       | no workspaces | /safe/1   | k-1 |           |
+
+  # Guards against a 401 for what is only unknown here: callers do not repeat after one.
+  Scenario: A gateway without a configuration answers 503 to a request with a key
+    Given a data path of the platform without a configuration
+    When a client sends "/safe/1" with the key "k-1" and workspaces of its own choice
+    Then the client gets 503 with a Retry-After below 2 s
+
   # Guards against delivery of the answer to another request.
   Scenario: An answer with another attempt id is skipped
     When a client sends a safe request with 400 ms left
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -1,7 +1,7 @@
 """Steps for calls with the header fields of the operators' platform."""
 
 from behave import given, then, when
-from datapath_support import DataPath, new_text, split_answers
+from datapath_support import DataPath, new_text, split_answers, workspaces_text
 from twisted.internet.defer import fail
 from twisted.internet.error import ConnectionDone
 
@@ -39,6 +39,19 @@
 idempotent = true
 max_attempts = 1
 """
+OPEN_ROUTE = """
+[[routes]]
+host = "a.example"
+path_prefix = "/open/"
+service = "desk"
+idempotent = true
+anonymous = true
+"""
+CHOSEN_WORKSPACES = (
+    "X-Banyanshelf-Tenant: two\r\nx-banyanshelf-TENANT: two\r\n"
+    "X_Banyanshelf_Tenant: two\r\nX-Banyanshelf_Tenant: two\r\n"
+    "X_Banyanshelf_Credential: k-5\r\n"
+)
 SIGNATURE = "X-Banyanshelf-Response-Signature: abc\r\n"
 ATTEMPT_ID = "X-Banyanshelf-Attempt-Id"
 REJECTION = (
@@ -66,6 +79,41 @@
     context.path.collaborators.active.return_value = None
 
 
+@given("the platform's text with no workspaces")
+def step_no_workspaces(context):
+    context.path.collaborators.active.return_value = new_text(TEXT + OPEN_ROUTE)
+
+
+@given("the platform's text with keys {words}")
+def step_workspaces(context, words):
+    text = TEXT + OPEN_ROUTE + workspaces_text(words)
+    context.path.collaborators.active.return_value = new_text(text)
+
+
+@when('a client sends "{path}" with the key "{key}" and workspaces of its own choice')
+@when('a client sends "{path}" with the key "" and workspaces of its own choice')
+def step_keyed_request(context, path, key=""):
+    credential = f"X-Banyanshelf-Credential: {key}\r\n" if key else ""
+    context.path.send(
+        context.caller,
+        f"GET {path} HTTP/1.1\r\nHost: a.example\r\n{ATTEMPT_ID}: mine\r\n"
+        f"{CHOSEN_WORKSPACES}{credential}\r\n".encode(),
+    )
+    note_request(context)
+
+
+@then('the upstream gets the workspace "{workspace}" and no key')
+@then('the upstream gets the workspace "" and no key')
+def step_upstream_workspace(context, workspace=""):
+    fields = [
+        line.partition(": ")
+        for line in context.requests[0].lower().replace("_", "-").split("\r\n")
+    ]
+    found = [value for name, _, value in fields if name == "x-banyanshelf-tenant"]
+    assert found == ([workspace] if workspace else []), context.requests
+    assert "credential" not in context.requests[0].lower(), context.requests
+
+
 @when("a client sends a {kind} request with {left:d} ms left")
 @when("a client sends an {kind} request with {left:d} ms left")
 def step_request(context, kind, left):
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -2,6 +2,7 @@
 
 import base64
 import copy
+import math
 import random
 
 import msgspec
@@ -225,7 +226,7 @@
     )
 
 
-def start_gateway(context, select_relay):
+def start_gateway(context, select_relay, confirmation_period_s=math.inf):
     context.clients = {}
 
     def connect(_reactor, address):
@@ -240,6 +241,7 @@
         connect,
         connect,
         select_relay,
+        confirmation_period_s,
     )
     context.directory = PlatformDirectory(
         context.clock, context.view, lambda: RetryRules(0.2, 1)
--- a/packages/banyanshelf-core/src/banyanshelf_core/workspaces.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/workspaces.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RouteDecision
@@ -12,6 +14,34 @@
 UNKNOWN_KEY = "the request carries no key of a workspace; send a valid one"
 
 
+# Part of the limit after which keys are refused; the rest is for calls on their way.
+TRUSTED_SHARE = 0.9
+# A confirmation is up to two periods old when the next one fails to arrive.
+CONFIRMATIONS_PER_LIMIT = 6
+
+
+class RevocationRule(NamedTuple):
+    """Whether keys are served by a gateway that may have missed their removal.
+
+    With ``is_strict``, keys are refused once ``limit_s`` seconds have passed in which
+    nothing showed that the text is still the newest one. Otherwise, they are served by
+    the last known text, however old it is.
+    """
+
+    is_strict: bool = False
+    limit_s: float = 5.0
+
+    def admits_keys(self, now: float, confirmed_at: float) -> bool:
+        """Whether keys are served; the text was the newest at ``confirmed_at``."""
+        return not self.is_strict or now - confirmed_at <= TRUSTED_SHARE * self.limit_s
+
+    def confirmation_period_s(self) -> float:
+        """Return how often the text has to be confirmed."""
+        if not self.is_strict:
+            return math.inf
+        return self.limit_s / CONFIRMATIONS_PER_LIMIT
+
+
 class WorkspaceKeys:
     """The keys of one version of the operators' text.
 
