Send nothing to the upstreams of evacuated zones

Change: a live upstream of an evacuated zone is in a state of its own, which no placement, probe, retry or second attempt uses; what an aggregator places there is placed anew by the gateway. Late calls of a zone without usable upstreams get the free slots of others; they were refused as if no slot were free. A change of state starts no cold phase anew.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -41,6 +41,25 @@
       | used     | too slow        | report a1 0 4; report a2 0 4; report b1 0 1              | 120  | b1     |
       | not used | as slow         | report a1 0 4; report a2 0 4; report b1 0 4              | 200  | a1 a2  |
       | used     | leaving         | leave a1; leave a2                                       | 200  | b1     |
+      | used     | evacuated       | evacuate a1; evacuate a2                                 | 200  | b1     |
+      | used     | evacuated and the other is slow | evacuate a1; evacuate a2; report b1 0 4  | 200  | b1     |
+      | not used | in use again    | evacuate a1; evacuate a2; return a1; return a2           | 200  | a1 a2  |
+
+  # Guards against callers of an evacuated zone that are refused although other zones have
+  # free slots: without slots of its own, the zone counted as full. The load is calls that
+  # are late already.
+  Scenario: Late calls of an evacuated zone get the free slots of other zones
+    When the placement sees "evacuate a1; evacuate a2; others g2 b1 1"
+    Then calls with 40 ms left go to "b1"
+    When the placement sees "others g2 b1 3"
+    Then a call with 40 ms left is refused within a third of the time
+
+  # Guards against a cold phase that starts anew because the state has changed.
+  Scenario: An upstream that is used again is cold for the time that its entry states
+    When the placement sees "cold a1 400; wait 0.5; evacuate a1; return a1; evacuate a2"
+    Then a call with 400 ms left takes at most 70 ms at "a1"
+    When the placement sees "cold a1 900"
+    Then a call with 400 ms left takes at least 110 ms at "a1"
 
   # Guards against calls to another zone without any load data about it.
   Scenario: Without a recent load report, another zone is not used
--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -9,6 +9,15 @@
     When all gateways together place 24 calls
     Then no upstream has more than 2 calls
 
+  # Guards against calls into an evacuated zone that are placed by an aggregator which has
+  # not heard of the evacuation.
+  Scenario: A gateway does not send calls to upstreams that it knows to be evacuated
+    When all gateways but the aggregator hear that 6 upstreams are evacuated
+    And the other gateways together place 10 calls
+    Then each of them is placed at another upstream
+    And 1 s passes in the zone
+    And the aggregator counts no call at the evacuated upstreams
+
   # Guards against calls that stay counted after their end, or are counted twice.
   Scenario: Ended calls are not counted
     When all gateways together place 24 calls
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -110,8 +110,24 @@
 
 
 def on_leave(context, name):
-    leaving = context.upstreams[name]._replace(state=UpstreamState.LEAVING)
-    context.upstreams[name] = leaving
+    replace(context, name, state=UpstreamState.LEAVING)
+
+
+def on_evacuate(context, name):
+    replace(context, name, state=UpstreamState.EVACUATED)
+
+
+def on_return(context, name):
+    replace(context, name, state=UpstreamState.LIVE)
+
+
+def on_cold(context, name, milliseconds):
+    replace(context, name, cold_ms=int(milliseconds))
+
+
+def replace(context, name, **changes):
+    context.upstreams = dict(context.upstreams)
+    context.upstreams[name] = context.upstreams[name]._replace(**changes)
     context.selector.set_upstreams(context.now, context.upstreams)
 
 
@@ -271,3 +287,14 @@
         for infers in (True, False)
     ]
     assert shares[0] >= shares[1] + gain, shares
+
+
+@then('a call with {left:d} ms left takes at {bound} {limit:d} ms at "{name}"')
+def step_time_at(context, left, bound, limit, name):
+    target = context.now + left / 1000
+    found_ms = 1000 * context.selector.expected_s(
+        context.now,
+        context.selector.loads_by_id[name],
+        PlacementRequest("/", target, target),
+    )
+    assert (found_ms <= limit) if bound == "most" else (found_ms >= limit), found_ms
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -3,9 +3,9 @@
 import random
 
 from behave import given, step, then, when
-from simulated_admissions import SERVICE, AdmissionZone
+from simulated_admissions import SERVICE, AdmissionZone, Directory
 
-from banyanshelf_core.model import LoadReport
+from banyanshelf_core.model import LoadReport, UpstreamState
 
 SETTLE_TIME_S = 0.02
 
@@ -33,6 +33,41 @@
     context.zone.settle(0.1)
 
 
+@when("all gateways but the aggregator hear that {count:d} upstreams are evacuated")
+def step_evacuated(context, count):
+    known = context.zone.directory.upstreams
+    context.evacuated = set(sorted(known)[:count])
+    evacuated = {
+        each.id: (
+            each._replace(state=UpstreamState.EVACUATED)
+            if each.id in context.evacuated
+            else each
+        )
+        for each in known.values()
+    }
+    for name, admission in context.zone.sharings.items():
+        if name != context.zone.aggregator():
+            directory = Directory(evacuated)
+            admission._directory = admission.loads._directory = directory
+            admission.loads._on_upstreams_change()
+
+
+@then("each of them is placed at another upstream")
+def step_other_upstreams(context):
+    aggregator = context.zone.aggregator()
+    for call in context.calls:
+        assert call.permit is not None, call.error
+        if call.name != aggregator:
+            assert call.permit.upstream.id not in context.evacuated, call.permit
+
+
+@then("the aggregator counts no call at the evacuated upstreams")
+def step_no_evacuated_counts(context):
+    found = context.zone.counts(context.zone.aggregator())
+    own = sum(call.name == context.zone.aggregator() for call in context.calls)
+    assert sum(found.get(each, 0) for each in context.evacuated) <= own + 0.1, found
+
+
 @when("all calls end")
 def step_end(context):
     for call in context.calls:
--- a/packages/banyanshelf-core/src/banyanshelf_core/model.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/model.py
@@ -41,10 +41,14 @@
 
 
 class UpstreamState(enum.StrEnum):
-    """Whether an upstream may receive new work."""
+    """Whether an upstream may receive new work; only a live one may.
+
+    An upstream is evacuated while its availability zone is.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
 
 
 class Upstream(NamedTuple):
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -346,17 +346,27 @@
         return load.in_flight(now) < upstream.slots + MAX_QUEUED_CALLS
 
     def _utilization(self, now: float) -> float:
-        """Return the share of the local zone's slots that are in use."""
-        used = slots = 0.0
+        """Return the share of the local zone's slots that are in use.
+
+        Without a usable upstream there, it is the share of all slots.
+        """
+        used = slots = all_used = all_slots = 0.0
         for load in self.loads_by_id.values():
             upstream = load.upstream
             is_live = upstream.state is UpstreamState.LIVE and not load.is_ejected(now)
             is_held_back = load.is_limited(now) or load.is_paused(now)
             is_usable = is_live and not is_held_back
-            if is_usable and upstream.zone == self._zone:
-                used += min(upstream.slots, load.in_flight(now))
+            if not is_usable:
+                continue
+            in_use = min(upstream.slots, load.in_flight(now))
+            all_used += in_use
+            all_slots += upstream.slots
+            if upstream.zone == self._zone:
+                used += in_use
                 slots += upstream.slots
-        return used / slots if slots else 1.0
+        if slots:
+            return used / slots
+        return all_used / all_slots if all_slots else 1.0
 
     def _candidates(
         self, now: float, request: PlacementRequest, *, is_same_zone: bool
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -146,10 +146,13 @@
 
     def replace(self, now: float, upstream: Upstream) -> None:
         """Set the host list entry, either the first one or a changed one."""
-        if not self._progress_at:
+        is_first = not self._progress_at
+        if is_first:
             self._progress_at = now
+        # A change of the state alone says nothing of the time that is left.
+        is_rewritten = upstream._replace(state=self.upstream.state) != self.upstream
         self.upstream = upstream
-        if upstream.cold_ms:
+        if upstream.cold_ms and (is_first or is_rewritten):
             self.cold_until = now + upstream.cold_ms / 1000
 
     def forget_members(self, live: Collection[MemberId]) -> None:
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -175,7 +175,7 @@
     """The whole operators' text.
 
     Without ``workspaces``, requests need no key. An empty table admits those of
-    anonymous routes only.
+    anonymous routes only. Upstreams of ``evacuated_zones`` get no requests.
     """
 
     policy: PolicyName = "permits"
@@ -185,6 +185,7 @@
     services: dict[str, Service]
     routes: list[EntryRoute] = []
     workspaces: dict[str, Workspace] | None = None
+    evacuated_zones: list[str] = []
 
 
 def parse_text(content: str) -> OperatorText:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -175,7 +175,13 @@
         return self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host)
 
     def _on_text_adopted(self, active: ActiveText) -> None:
-        self.log.event("text adopted", version=active.version, digest=active.digest)
+        self.log.event(
+            "text adopted",
+            version=active.version,
+            digest=active.digest,
+            evacuated_zones=active.text.evacuated_zones,
+        )
+        self.directory.set_evacuated_zones(active.text.evacuated_zones)
         if self.lifecycle.state_name() == "starting":
             self.lifecycle.ready()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/host_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
@@ -13,6 +13,7 @@
 
 from banyanshelf_core.backoff import Backoff
 from banyanshelf_core.errors import SettingsError
+from banyanshelf_core.evacuated_zones import evacuated
 from banyanshelf_core.messages import UpstreamNotice
 from banyanshelf_core.model import (
     MemberId,
@@ -126,6 +127,7 @@
         self._settled: dict[tuple[UpstreamId, MemberId], tuple[int, float]] = {}
         self._sequence = 0
         self._expiry_call: Any = None
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._handlers: list[Callable[[], None]] = []
         self._failures = 0
         network.subscribe(UpstreamNotice, self._on_notice)
@@ -160,6 +162,11 @@
         """Call ``handler`` after each change of any service's upstreams."""
         self._handlers.append(handler)
 
+    def set_evacuated_zones(self, zones: Collection[str]) -> None:
+        """Give the upstreams of these availability zones no work."""
+        self._evacuated_zones = frozenset(zones)
+        self._update_upstreams()
+
     # Start, stop, status
 
     def start(self) -> None:
@@ -180,6 +187,7 @@
             "hosts": len(self._listed),
             "notices": sorted(self._notices),
             "failures": self._failures,
+            "evacuated_zones": sorted(self._evacuated_zones),
         }
 
     # Notices
@@ -282,6 +290,7 @@
         for upstream in self._listed.values():
             if upstream.id in self._notices:
                 upstream = upstream._replace(state=UpstreamState.LEAVING)
+            upstream = evacuated(upstream, self._evacuated_zones)
             merged.setdefault(upstream.service, {})[upstream.id] = upstream
         self._schedule_expiry()
         if merged == self._merged:
