Let workspaces use most of what the users allow beyond a quota

Change: banks grant 0.45 of the excess with the rate and 0.2 with the burst, and start with an eighth. Banks that had nothing are asked again after 0.15 s.

--- a/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
@@ -27,11 +27,13 @@
 RESERVE_S = 0.5
 # A bank that has less than it needs for this long borrows from the others.
 LOOKAHEAD_S = 0.25
-# Shares of the allowed excess. The first is added to the burst, as the division among
-# the zones is never exact. The second is what the banks have at their start, when they
-# do not know what was used before; a bank may be replaced twice within one window.
-EXTRA_BURST_SHARE = 0.5
-START_SHARE = 0.25
+# Shares of the excess that the users allow. The first two are added to the rate and to
+# the burst, as the division among the zones is never exact. The third is what the banks
+# have at their start, when they do not know what was used before. The rest is for
+# batches, and for banks that are replaced within one window.
+EXTRA_RATE_SHARE = 0.45
+EXTRA_BURST_SHARE = 0.2
+START_SHARE = 0.125
 # A bank that has lent much may still gain what its share of the quota gives in this
 # time.
 MIN_CAPACITY_S = 0.25
@@ -62,10 +64,19 @@
         in_window = quota.per_s * self.window_s + quota.burst
         return in_window * self.overshoot + self.slack
 
+    def granted(self, quota: Quota) -> Quota:
+        """Return what the banks grant, which includes a part of the excess."""
+        excess = self.excess(quota)
+        return Quota(
+            quota.per_s + EXTRA_RATE_SHARE * excess / self.window_s,
+            quota.burst + EXTRA_BURST_SHARE * excess,
+        )
+
 
 @dataclass(slots=True)
 class _Account:
-    quota: Quota
+    # What the banks grant together
+    granted: Quota
     bucket: TokenBucket
     demand_per_s: float = 0.0
     demand_at: float = -math.inf
@@ -122,9 +133,10 @@
                 del self._accounts[name]
                 continue
             self._refill(now, account)
-            gained = max(0.0, quota.burst - account.quota.burst) * self._share
+            granted = self._terms.granted(quota)
+            gained = max(0.0, granted.burst - account.granted.burst) * self._share
             account.bucket.available += gained
-            account.quota = quota
+            account.granted = granted
             self._refill(now, account)
 
     def set_share(self, now: float, share: float) -> None:
@@ -158,7 +170,7 @@
         account = self._account(now, name)
         if account is None:
             return 0.0
-        per_s = account.quota.per_s * self._share
+        per_s = account.granted.per_s * self._share
         window_s = self._terms.window_s
         gap_s = min(window_s, 1 / per_s) if per_s > 0 else window_s
         account.returns_at = min(now + window_s, max(now, account.returns_at) + gap_s)
@@ -237,11 +249,12 @@
             quota = self._quotas.get(name)
             if quota is None:
                 return None
-            per_s = quota.per_s * self._share
+            granted = self._terms.granted(quota)
+            per_s = granted.per_s * self._share
             # What the bank would have gained if it had counted from its start.
             start = self._terms.excess(quota) * self._start_share * self._share
             start += per_s * max(0.0, now - self._gains_from)
-            account = _Account(quota, TokenBucket(0.0, start, now))
+            account = _Account(granted, TokenBucket(0.0, start, now))
             self._accounts[name] = account
         self._refill(now, account)
         return account
@@ -250,19 +263,18 @@
         if now >= account.borrowed_until:
             account.borrowed = 0
         has_begun = now >= self._gains_from
-        per_s = account.quota.per_s * self._share if has_begun else 0.0
+        per_s = account.granted.per_s * self._share if has_begun else 0.0
         account.bucket.refill(now, per_s, self._capacity(now, account))
 
     def _capacity(self, now: float, account: _Account) -> float:
         """Return the most that the bank may have, without what it has lent."""
         while account.lent and account.lent[0][0] <= now:
             account.lent.popleft()
-        burst = account.quota.burst
-        burst += EXTRA_BURST_SHARE * self._terms.excess(account.quota)
+        burst = account.granted.burst
         lent = sum(count for _, count in account.lent)
         # Most of what has been lent is used at once, so that the bank goes on gaining.
         # Without room for one request, it would never grant any.
-        least = max(1.0, MIN_CAPACITY_S * account.quota.per_s * self._share)
+        least = max(1.0, MIN_CAPACITY_S * account.granted.per_s * self._share)
         return max(least, burst * self._share - lent)
 
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
@@ -31,7 +31,7 @@
 # Borrowed requests that are not used within this time are lost.
 LOAN_VALID_S = 0.5
 # Banks that had nothing are not asked again for this long.
-DRY_HOLD_S = 0.1
+DRY_HOLD_S = 0.15
 # A gateway that has not answered is not asked again for this long. By then, one that
 # was lost has been removed from the members.
 SILENCE_HOLD_S = 2.0
