Send cold upstreams only what they take from all gateways

Cause: a cold upstream tolerates a few requests a second and crashes under more; entries and answers to health checks say how long it is cold, and only its slower pace was counted.

Change: while an upstream is cold, its rate is a request limit that its keeper grants, as for upstreams that state their own. Gateways tell each other what health answers say. One that is used again after an evacuation is taken for cold until a health answer says otherwise.

--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -10,6 +10,7 @@
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream
 from banyanshelf_core.replica import ORIGIN
+from banyanshelf_core.text import Service
 from banyanshelf_daemon.interfaces import PermitRequest
 from banyanshelf_daemon.shared_admission import SharedAdmission
 
@@ -23,7 +24,7 @@
 
     def __init__(self, upstreams):
         self.upstreams = upstreams
-        text = SimpleNamespace(services={SERVICE: None}, workspaces=None)
+        text = SimpleNamespace(services={SERVICE: Service()}, workspaces=None)
         self.text = SimpleNamespace(text=text)
         self.handlers = []
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -184,8 +184,9 @@
 class LimitQuery(msgspec.Struct, array_like=True, tag=9, frozen=True):
     """Asks the keeper of an upstream's limit for one request.
 
-    ``limit`` is what the sender knows. A gateway that is not the keeper forwards the
-    query once; the answer goes to ``reply_to``.
+    ``limit`` is what the sender knows; with ``is_cold``, it is that of a cold upstream.
+    A gateway that is not the keeper forwards the query once; the answer goes to
+    ``reply_to``.
     """
 
     reply_to: str
@@ -194,6 +195,7 @@
     limit: LimitRow
     is_probe: bool
     is_forwarded: bool = False
+    is_cold: bool = False
 
 
 class LimitReply(msgspec.Struct, array_like=True, tag=10, frozen=True):
@@ -234,8 +236,8 @@
 class UpstreamStatement(msgspec.Struct, array_like=True, tag=13, frozen=True):
     """What an upstream has said of itself in an answer to the sender.
 
-    It concerns one incarnation: that the upstream is leaving, or that it wants no
-    requests for ``pause_s``.
+    It concerns one incarnation: that the upstream is leaving, that it wants no requests
+    for ``pause_s``, or that it is cold for ``cold_s``.
     """
 
     sender: MemberId
@@ -244,6 +246,7 @@
     incarnation: int
     is_leaving: bool
     pause_s: Seconds = 0.0
+    cold_s: Seconds = 0.0
 
 
 Counts = dict[WorkspaceName, Count]
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -26,7 +26,7 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.pace_model import PaceModel
-from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.placement.upstream_load import NO_COLD_RULES, UpstreamLoad
 from banyanshelf_core.placement.work_estimate import WorkEstimate
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.request_rate import RECHECK_PERIOD_S
@@ -99,6 +99,7 @@
         self._rng = rng
         self._zone = zone
         self.loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
+        self.cold_rules = NO_COLD_RULES
         self.estimate = WorkEstimate()
         self.pace = PaceModel()
 
@@ -110,10 +111,11 @@
         for upstream_id, upstream in upstreams.items():
             load = previous.get(upstream_id)
             if load is None or load.upstream.incarnation != upstream.incarnation:
-                load = UpstreamLoad(upstream)
+                load = UpstreamLoad(upstream, cold_rules=self.cold_rules)
                 load.replace(now, upstream)
             elif load.upstream != upstream:
                 load.replace(now, upstream)
+            load.cold_rules = self.cold_rules
             self.loads_by_id[upstream_id] = load
 
     def choose(self, now: float, request: PlacementRequest) -> Placed | Refused:
@@ -155,7 +157,7 @@
             1 / load.rate,
             now - load.reported_at,
             load.upstream.zone == self._zone,
-            load.stated_limit.per_s,
+            load.limit(now).per_s,
         )
 
     def _refuse_without_upstream(
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -5,9 +5,11 @@
 import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-from banyanshelf_core.model import LoadReport, MemberId, Upstream
+from banyanshelf_core.model import LoadReport, MemberId, Upstream, UpstreamState
 from banyanshelf_core.request_limit import NO_STATEMENT, StatedLimit
+from banyanshelf_core.text import Service
 
 # Calls of gateways that do not share their counts are known from load reports only.
 # Their number decays with this time constant, which is about the duration of a call.
@@ -20,6 +22,23 @@
 REPORT_VALIDITY_S = 0.2
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
+# Answers tell the time that is left in milliseconds and arrive late by as many.
+COLD_TOLERANCE_S = 0.1
+
+
+class ColdRules(NamedTuple):
+    """What a cold upstream takes from all gateways, and for how long it is cold."""
+
+    cold_s: float = 0.0
+    requests_per_s: float = 0.0
+
+    @classmethod
+    def from_config(cls, service: Service) -> ColdRules:
+        """Return the rules of a service."""
+        return cls(service.cold_s, service.cold_requests_per_s)
+
+
+NO_COLD_RULES = ColdRules()
 
 
 @dataclass(slots=True)
@@ -29,11 +48,12 @@
     ``own_calls`` counts this gateway's calls in progress, ``calls_by_member`` those of
     the gateways that share their counts. ``rate`` is the service rate of the last
     report, 1 being normal. Until ``limited_until``, the upstream takes no request, as
-    its stated limit is used up; until ``paused_until``, it wants none.
+    its limit is used up; until ``paused_until``, it wants none.
     """
 
     upstream: Upstream
     cold_until: float = 0.0
+    cold_rules: ColdRules = NO_COLD_RULES
     own_calls: int = 0
     calls_by_member: dict[MemberId, int] = field(default_factory=dict)
     reported_at: float = -math.inf
@@ -98,6 +118,22 @@
         """Whether the upstream has asked for no requests for some time."""
         return now < self.paused_until
 
+    def limit(self, now: float) -> StatedLimit:
+        """Return what limits the upstream now: its statement or that it is cold."""
+        cold_per_s = self.cold_rules.requests_per_s
+        if now >= self.cold_until or not cold_per_s:
+            return self.stated_limit
+        stated_per_s = self.stated_limit.per_s
+        if stated_per_s is not None and stated_per_s <= cold_per_s:
+            return self.stated_limit
+        return StatedLimit(cold_per_s, now)
+
+    def note_cold(self, until: float) -> bool:
+        """Record until when the upstream is cold; returns whether that is news."""
+        is_news = abs(until - self.cold_until) > COLD_TOLERANCE_S
+        self.cold_until = until
+        return is_news
+
     def note_limit(self, stated: StatedLimit) -> bool:
         """Record what the upstream states; returns whether its limit has changed.
 
@@ -151,7 +187,14 @@
             self._progress_at = now
         # A change of the state alone says nothing of the time that is left.
         is_rewritten = upstream._replace(state=self.upstream.state) != self.upstream
+        is_return = (
+            self.upstream.state is not UpstreamState.LIVE
+            and upstream.state is UpstreamState.LIVE
+        )
         self.upstream = upstream
+        if is_return:
+            # It may have become cold without requests.
+            self.cold_until = max(self.cold_until, now + self.cold_rules.cold_s)
         if upstream.cold_ms and (is_first or is_rewritten):
             self.cold_until = now + upstream.cold_ms / 1000
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -108,6 +108,7 @@
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
+        self._note_cold = getattr(permits, "note_cold", None)
         self._note_pause = getattr(permits, "note_pause", None)
         self._pauses = UpstreamPauses()
         self._rng = rng
@@ -204,6 +205,7 @@
         self._note_limit(upstream_id, head)
         self._note_load(upstream_id, head)
         self._read_pause(upstream, head)
+        self._read_cold(upstream, head)
         if self.dialect.is_draining(head):
             self.metrics.count("signal.draining")
             self._directory.report_leaving(upstream_id, "draining")
@@ -224,6 +226,11 @@
         if self._note_pause is not None:
             self._note_pause(upstream, pause_s)
 
+    def _read_cold(self, upstream: Upstream, head: AnswerHead) -> None:
+        cold_s = self.dialect.cold_s(head)
+        if cold_s is not None and self._note_cold is not None:
+            self._note_cold(upstream, cold_s)
+
     def paused_for_s(self, upstream: Upstream) -> float:
         """Return for how long an upstream has asked this gateway for no requests."""
         return max(0.0, self._pauses.until(upstream) - self.now())
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/dialect.py
@@ -123,6 +123,9 @@
         Raises :class:`RequestLimitError` if it cannot be read.
         """
 
+    def cold_s(self, head: AnswerHead) -> float | None:
+        """Return for how long the upstream is cold, in seconds, if it states that."""
+
     def retry_after(self, head: Answer | AnswerHead) -> bytes | None:
         """Return for how long the upstream wants no requests, as it states it."""
 
@@ -230,6 +233,9 @@
         value = header_value(head.headers, b"upstream-request-limit")
         return None if value is None else parse_request_limit(value)
 
+    def cold_s(self, head: AnswerHead) -> float | None:
+        """Return None, as answers do not state it."""
+
     def retry_after(self, head: Answer | AnswerHead) -> bytes | None:
         """Read ``Retry-After`` of a 503."""
         return refusal_retry_after(head)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
@@ -66,16 +66,17 @@
         upstream = load.upstream
         now = self._reactor.seconds()
         silent = self._silent_members(now)
+        # Health probes do not count towards what a cold upstream takes.
+        limit = load.stated_limit if is_probe else load.limit(now)
         keeper = self._keepers.select(upstream.id, upstream.zone, silent)
         if self._is_self(keeper):
-            reply = self._decide(
-                upstream.id, upstream.zone, load.stated_limit, is_probe
-            )
+            reply = self._decide(upstream.id, upstream.zone, limit, is_probe)
             return succeed(self._apply(load, reply))
         if keeper.id in silent:
             reply = LimitReply(0, silent[keeper.id] - now)
             return succeed(self._apply(load, reply))
-        query = self._ask(keeper, upstream, load.stated_limit, is_probe)
+        is_cold = limit is not load.stated_limit
+        query = self._ask(keeper, upstream, limit, is_probe, is_cold=is_cold)
         return query.addCallback(self._answered, load, keeper)
 
     def announce_departure(self, notices: int = DEPARTURE_NOTICES) -> None:
@@ -94,7 +95,13 @@
     # Queries of this gateway
 
     def _ask(
-        self, keeper: Member, upstream: Upstream, stated: StatedLimit, is_probe: bool
+        self,
+        keeper: Member,
+        upstream: Upstream,
+        stated: StatedLimit,
+        is_probe: bool,
+        *,
+        is_cold: bool,
     ) -> Deferred[LimitReply | None]:
         self._last_number += 1
         number = self._last_number
@@ -104,6 +111,7 @@
             upstream.id,
             stated.row(self._reactor.seconds()),
             is_probe,
+            is_cold=is_cold,
         )
         result: Deferred[LimitReply | None] = Deferred()
         self._waiting_by_number[number] = result
@@ -162,11 +170,16 @@
     def _on_query(self, query: LimitQuery, _address: str) -> None:
         now = self._reactor.seconds()
         stated = StatedLimit.from_row(now, query.limit)
-        self._loads.note_request_limit(query.upstream, stated)
+        if not query.is_cold:
+            self._loads.note_request_limit(query.upstream, stated)
         load = self._loads.load_of(query.upstream)
         zone = self._gossip.members.identity.zone
         if load is not None:
-            zone, stated = load.upstream.zone, load.stated_limit
+            zone = load.upstream.zone
+            known = load.stated_limit if query.is_probe else load.limit(now)
+            # This gateway may not have heard yet that the upstream is cold.
+            if not query.is_cold or known.per_s is not None:
+                stated = known
         keeper = self._keepers.select(query.upstream, zone)
         if self._is_self(keeper):
             reply = self._decide(query.upstream, zone, stated, query.is_probe)
@@ -180,6 +193,7 @@
                 query.limit,
                 query.is_probe,
                 True,
+                query.is_cold,
             )
             self._gossip.send_to([keeper.address], forwarded)
             return
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
@@ -11,7 +11,7 @@
 from banyanshelf_core.datagrams import LimitRow, ReportRow
 from banyanshelf_core.model import LoadReport, ServiceName, Upstream, UpstreamId
 from banyanshelf_core.placement.choice import PlacementSelector
-from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.placement.upstream_load import ColdRules, UpstreamLoad
 from banyanshelf_core.request_limit import StatedLimit, describe_limit
 from banyanshelf_core.retry_after import UpstreamPauses
 from banyanshelf_daemon.interfaces import (
@@ -119,6 +119,26 @@
         log.info("upstream {} wants no requests for {:.3f} s", upstream.id, wait_s)
         return True
 
+    def note_cold(self, upstream: Upstream, cold_s: float) -> bool:
+        """Record for how long an upstream is cold; return whether that is news."""
+        load = self.load_of(upstream.id)
+        if load is None or load.upstream.incarnation != upstream.incarnation:
+            return False
+        if not load.note_cold(self._reactor.seconds() + cold_s):
+            return False
+        if cold_s:
+            log.info("upstream {} is cold for {:.3f} s", upstream.id, cold_s)
+        return True
+
+    def cold_upstreams(self) -> int:
+        """Return how many upstreams are cold."""
+        now = self._reactor.seconds()
+        return sum(
+            now < load.cold_until
+            for selector in self.selector_by_service.values()
+            for load in selector.loads_by_id.values()
+        )
+
     def snapshot(self) -> dict[str, Any]:
         """Return the load figures for the status page."""
         now = self._reactor.seconds()
@@ -130,7 +150,8 @@
                     "pace": round(1 / load.rate, 2),
                     "failure_share": round(load.failure_share(now), 2),
                     "ejected": load.is_ejected(now),
-                    "request_limit": load.stated_limit.per_s,
+                    "request_limit": load.limit(now).per_s,
+                    "cold_s": round(max(0.0, load.cold_until - now), 3),
                     "paused_s": round(max(0.0, load.paused_until - now), 3),
                 }
                 for upstream_id, load in selector.loads_by_id.items()
@@ -152,11 +173,12 @@
             return
         now = self._reactor.seconds()
         self._service_by_upstream.clear()
-        for name in active.text.services:
+        for name, service in active.text.services.items():
             selector = self.selector_by_service.get(name)
             if selector is None:
                 selector = PlacementSelector(self._rng, self._zone)
                 self.selector_by_service[name] = selector
+            selector.cold_rules = ColdRules.from_config(service)
             upstreams = self._directory.upstreams_by_id(name)
             selector.set_upstreams(now, upstreams)
             for upstream_id, upstream in upstreams.items():
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -128,6 +128,7 @@
         self._directory = directory
         self.loads = ServiceLoads(reactor, zone, configuration, directory, rng)
         self._pause_handlers: list[Callable[[Upstream, float], None]] = []
+        self._cold_handlers: list[Callable[[Upstream, float], None]] = []
         self._call_by_number: dict[int, _CallInProgress] = {}
         # When the calls that need a second attempt were last notified
         self._notified_at_by_number: dict[int, float] = {}
@@ -362,6 +363,16 @@
             for handler in self._pause_handlers:
                 handler(upstream, pause_s)
 
+    def note_cold(self, upstream: Upstream, cold_s: float) -> None:
+        """Record for how long an upstream is cold, by its answer; 0 if it is not."""
+        if self.loads.note_cold(upstream, cold_s) and cold_s:
+            for handler in self._cold_handlers:
+                handler(upstream, cold_s)
+
+    def on_stated_cold(self, handler: Callable[[Upstream, float], None]) -> None:
+        """Call ``handler`` when an upstream states to this gateway that it is cold."""
+        self._cold_handlers.append(handler)
+
     def on_stated_pause(self, handler: Callable[[Upstream, float], None]) -> None:
         """Call ``handler`` with each pause that an upstream states to this gateway."""
         self._pause_handlers.append(handler)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_notices.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_notices.py
@@ -15,6 +15,9 @@
 from banyanshelf_daemon.interfaces import UpstreamDirectory
 from banyanshelf_daemon.service_loads import ServiceLoads
 
+# Upstreams warm up in seconds.
+MAX_COLD_S = 300.0
+
 
 class DepartureDirectory(UpstreamDirectory, Protocol):
     """A directory that other gateways tell of departures."""
@@ -41,13 +44,24 @@
 
     def publish_leaving(self, upstream: Upstream) -> None:
         """Tell the other gateways that an upstream is leaving."""
-        self._send(upstream, is_leaving=True, pause_s=0.0)
+        self._send(upstream, is_leaving=True)
 
     def publish_pause(self, upstream: Upstream, pause_s: float) -> None:
         """Tell the other gateways that an upstream wants no requests."""
         self._send(upstream, is_leaving=False, pause_s=pause_s)
 
-    def _send(self, upstream: Upstream, *, is_leaving: bool, pause_s: float) -> None:
+    def publish_cold(self, upstream: Upstream, cold_s: float) -> None:
+        """Tell the other gateways that an upstream is cold."""
+        self._send(upstream, is_leaving=False, cold_s=cold_s)
+
+    def _send(
+        self,
+        upstream: Upstream,
+        *,
+        is_leaving: bool,
+        pause_s: float = 0.0,
+        cold_s: float = 0.0,
+    ) -> None:
         self._gossip.send_to_zone(
             UpstreamStatement(
                 self._gossip.members.identity.id,
@@ -56,6 +70,7 @@
                 upstream.incarnation,
                 is_leaving,
                 pause_s,
+                cold_s,
             )
         )
 
@@ -69,3 +84,5 @@
         elif statement.pause_s:
             until = self._reactor.seconds() + min(statement.pause_s, MAX_PAUSE_S)
             self._loads.note_pause(upstream, until)
+        elif statement.cold_s:
+            self._loads.note_cold(upstream, min(statement.cold_s, MAX_COLD_S))
