Compress the replica once for all followers of a mirror

Cause: each follower of a relay gets the whole replica when the gateways start or the store is restored, encoded anew for each of them and at full length. A replica of 2,998 entries has 964 KB, and a relay of a zone with 100 gateways sends it 50 times.

Change: a mirror keeps the last answer that it encoded, which all followers that read the same get. Answers over 4 KB are compressed for readers that ask for it, which only gateways do; the store is read as before. A compressed answer that is cut off or too long is refused.

--- a/features/platform/store_mirror.feature
+++ b/features/platform/store_mirror.feature
@@ -34,3 +34,21 @@
     Then the read stays open
     When a change at revision 6 arrives
     Then the read is answered with 1 item
+
+  # Guards against a relay that cannot send a whole replica of thousands of entries to
+  # its followers within their timeout, as each copy is encoded and sent at full length.
+  Scenario: A long replica is compressed once for all followers
+    Given a mirror of a store with 500 entries at revision 600
+    When 40 other gateways read all items within a moment
+    Then each of them decodes 500 items
+    And the replica was encoded once, to less than a quarter of its length
+
+  Scenario: A reader that does not ask for it gets no compressed answer
+    Given a mirror of a store with 500 entries at revision 600
+    When another gateway reads all items
+    Then the read is answered with 500 items
+
+  Scenario: A compressed answer that was cut off is refused
+    Given a mirror of a store with 500 entries at revision 600
+    When 1 other gateways read all items within a moment
+    Then its answer without its last 100 bytes is refused
--- a/features/steps/platform_mirror_steps.py
+++ b/features/steps/platform_mirror_steps.py
@@ -1,5 +1,6 @@
 """Steps for the mirror of the store that a gateway serves to others."""
 
+import base64
 import random
 from types import SimpleNamespace
 
@@ -9,7 +10,13 @@
 
 from banyanshelf_core.errors import StoreUnavailableError
 from banyanshelf_core.replica import StoredItem, StorePosition
-from banyanshelf_platform.store_client import Changes, Page
+from banyanshelf_platform.store_client import (
+    MIRROR_ENCODING,
+    Changes,
+    Page,
+    _decode,
+    _StoreResponse,
+)
 from banyanshelf_platform.store_mirror import StoreMirror
 from banyanshelf_platform.store_view import StoreView, deliver_to_all
 
@@ -62,8 +69,10 @@
     request_read(context, "/-/kv-range", "/-/kv-range?prefix=")
 
 
-def request_read(context, path, target):
-    request = SimpleNamespace(path=path, target=target.encode())
+def request_read(context, path, target, headers=None):
+    request = SimpleNamespace(
+        path=path, target=target.encode(), value_by_name=headers or {}
+    )
     context.mirror.start(request, context.exchange, trust_internal_headers=False)
 
 
@@ -102,6 +111,47 @@
     assert [answer.status for answer in context.exchange.answers] == [410]
 
 
+@given("a mirror of a store with {count:d} entries at revision {revision:d}")
+def step_long_mirror(context, count, revision):
+    start_mirror(context)
+    value = base64.b64encode(b'{"address":"10.0.0.1:8080","status":"ready"}').decode()
+    items = [StoredItem(f"servers/i-{n:08x}", n + 1, value) for n in range(count)]
+    context.view.replica.load(items, StorePosition(1, revision))
+
+
+@when("{count:d} other gateways read all items within a moment")
+def step_many_ranges(context, count):
+    headers = {b"accept-encoding": MIRROR_ENCODING.encode()}
+    for _ in range(count):
+        request_read(context, "/-/kv-range", "/-/kv-range?prefix=", headers)
+
+
+@then("each of them decodes {count:d} items")
+def step_decoded(context, count):
+    for answer in context.exchange.answers:
+        page = _decode(_StoreResponse(answer.body, 1, is_compressed=True), Page)
+        assert len(page.items) == count, len(page.items)
+
+
+@then("the replica was encoded once, to less than a quarter of its length")
+def step_encoded_once(context):
+    answers = context.exchange.answers
+    page = _decode(_StoreResponse(answers[0].body, 1, is_compressed=True), Page)
+    assert 4 * len(answers[0].body) < len(msgspec.json.encode(page))
+    assert context.mirror.answers.encoded == 1, context.mirror.answers.encoded
+
+
+@then("its answer without its last {count:d} bytes is refused")
+def step_cut(context, count):
+    [answer] = context.exchange.answers
+    try:
+        _decode(_StoreResponse(answer.body[:-count], 1, is_compressed=True), Page)
+    except StoreUnavailableError:
+        return
+    raise AssertionError("a part of a replica was taken for all of it")
+
+
+@then("the read is answered with {count:d} items")
 @then("the read is answered with {count:d} item")
 def step_items(context, count):
     [answer] = context.exchange.answers
