Keep the route's priority for a workspace without one

Cause: a waiting call whose key moved to a workspace without a priority kept that of the former workspace, as the look-up began with the route that had been changed for it.

Change: the look-up begins with the matched route.

Conclusion: each look-up depends on the newest text and the request alone.

--- a/features/daemon/workspaces.feature
+++ b/features/daemon/workspaces.feature
@@ -23,6 +23,8 @@
       | old key of a waiting request           | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one=k-2 >> grant | answer 401 not_run; sent 0; released cancelled |
       | old key of a waiting unsafe request    | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> POST /a >> keys one= >> grant | answer 401 not_run; sent 0; released cancelled |
       | former workspace of a waiting request  | keys one=k-1 two= >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one= two=k-1 >> grant >> 200 ok | answer 200 ok; got Banyanshelf-Workspace: two; workspaces one two; released cancelled answered |
+      | priority of a former workspace         | keys one=k-1@2 two= >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one=@2 two=k-1 >> grant >> 200 ok | answer 200 ok; priorities 2 0 |
+      | priority of the route for a workspace's own | keys one=k-1@3 >> with Banyanshelf-Workspace-Key: k-1 >> GET /a >> 200 ok | priorities 3 |
       | refusal after a change is taken back   | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one= >> keys one=k-1 >> grant >> 200 ok | answer 200 ok; workspaces one |
       | key that becomes needed while waiting  | hold_permits >> GET /a >> keys one=k-1 >> grant | answer 401 not_run; sent 0 |
 
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -382,6 +382,9 @@
     "workspaces": lambda c: " ".join(
         dict.fromkeys(each.workspace for each in c.path.permits.requests)
     ),
+    "priorities": lambda c: " ".join(
+        dict.fromkeys(str(each.priority) for each in c.path.permits.requests)
+    ),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -42,13 +42,17 @@
 
 
 def workspaces_text(words):
-    """Return the lines that give keys to workspaces, as in ``one=k-1,k-2 two=``."""
+    """Return the lines that give keys to workspaces.
+
+    Example: ``one=k-1,k-2 two= three=k-3@1``, with priority 1 for the last one.
+    """
     lines = ["[workspaces]"]
     for word in words.split():
-        name, _, keys = word.partition("=")
-        lines.append(
-            f"{name} = {{ keys = {[each for each in keys.split(',') if each]} }}"
-        )
+        name, _, rest = word.partition("=")
+        keys, _, priority = rest.partition("@")
+        listed = [each for each in keys.split(",") if each]
+        rank = f", priority = {priority}" if priority else ""
+        lines.append(f"{name} = {{ keys = {listed}{rank} }}")
     return "\n".join(lines)
 
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -108,10 +108,10 @@
             context = self.services.dialect.context(
                 request, is_trusted=trust_internal_headers
             )
-            route = self._matcher_for(active).match(
+            matched = self._matcher_for(active).match(
                 request.host, request.path, request.method, request.value_by_name
             )
-            route = self.services.with_workspace(active, route, request, context)
+            route = self.services.with_workspace(active, matched, request, context)
             if not route.idempotent:
                 _check_key(request, route)
         except RequestError as error:
@@ -120,7 +120,14 @@
             return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
-            self.services, request, exchange, route, active, context, request_id
+            self.services,
+            request,
+            exchange,
+            route,
+            active,
+            context,
+            request_id,
+            matched,
         )
         exchange.call = call
         if call.deadline > self.services.stops_at:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -38,6 +38,8 @@
 class CallState:
     """One call, with the configuration text that was active at its start.
 
+    ``route`` has the workspace of the request and its priority, ``matched`` is the same
+    route without them. ``workspace`` and ``priority`` follow later texts.
     ``_may_have_run`` is true once a byte of the request may have reached an application
     that has not stated that it did not run the request.
     """
@@ -51,6 +53,7 @@
         active: ActiveText,
         context: CallContext,
         request_id: str,
+        matched: RouteDecision,
     ) -> None:
         self.services = services
         self.request = request
@@ -66,6 +69,7 @@
         self.deadline = self.started + timeout_s
         self.target = self._target(context)
         self._context = context
+        self._matched = matched
         self.workspace = route.workspace
         self.priority = route.priority
         self._service_state = services.state_for(route.service_name, route.service)
@@ -136,7 +140,7 @@
         active = self.services.active() or self.active
         try:
             route = self.services.with_workspace(
-                active, self.route, self.request, self._context
+                active, self._matched, self.request, self._context
             )
         except RequestError as error:
             return error
