Let the soak change keys, check tenants and evacuate zones

Cause: random faults were played without keys of workspaces and with all zones in use.

Change: each version has a key of its own besides a lasting one, which callers send with a tenant of their choice; runs record the tenant and any key. Checks: a run is for the tenant that holds the key, no key reaches an upstream, a key is in force with its version and not after it, and no run begins in an evacuated zone past the bound. Evacuations are drawn from a random source of their own, so that a seed gives the faults that it gave.

--- a/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
+++ b/packages/banyanshelf-standins/src/banyanshelf_standins/platform_upstream.py
@@ -26,6 +26,8 @@
 
 ATTEMPT_ID_HEADER = "x-banyanshelf-attempt-id"
 EXPECTED_INSTANCE_HEADER = "x-banyanshelf-expected-instance"
+TENANT_HEADER = "x-banyanshelf-tenant"
+CREDENTIAL_HEADER = "x-banyanshelf-credential"
 SIGNATURE_HEADER = ("X-Banyanshelf-Response-Signature", "stand-in")
 NOT_EXECUTED_HEADER = ("X-Banyanshelf-Not-Executed", "1")
 SLOT_COUNT = 3
@@ -33,11 +35,16 @@
 
 
 class Run(msgspec.Struct):
-    """One started run; ``at`` is the host's monotonic time in seconds."""
+    """One started run; ``at`` is the host's monotonic time in seconds.
+
+    ``tenant`` and ``credential`` are the values of these request headers.
+    """
 
     attempt: str
     target: str
     at: float
+    tenant: str = ""
+    credential: str = ""
 
 
 class PlatformUpstream:
@@ -86,7 +93,13 @@
         attempt = exchange.headers.get(ATTEMPT_ID_HEADER, "")
         self.runs_by_attempt[attempt] += 1
         if self._journal is not None:
-            run = Run(attempt, exchange.target, time.monotonic())
+            run = Run(
+                attempt,
+                exchange.target,
+                time.monotonic(),
+                exchange.headers.get(TENANT_HEADER, ""),
+                exchange.headers.get(CREDENTIAL_HEADER, ""),
+            )
             self._journal.write(msgspec.json.encode(run) + b"\n")
         reactor.callLater(self.latency_s, self._finish, exchange)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,14 @@
 import time
 from typing import NamedTuple
 
-from soak.site import HOST_NAME, SoakSite
+from soak.site import (
+    HOST_NAME,
+    LASTING_KEY,
+    LASTING_TENANT,
+    SoakSite,
+    version_key,
+    version_tenant,
+)
 
 DEADLINE_MS = 2500
 # A gateway answers at the route's timeout; a paused one later.
@@ -24,7 +31,8 @@
     """One call as its caller saw it; times are monotonic seconds.
 
     ``status`` is 0 if no whole answer came. ``version`` is the version whose route was
-    asked, or 0. ``is_first`` tells a call that was the first of its connection.
+    asked with its key, or 0. ``tenant`` holds the key. ``is_first`` tells a call that
+    was the first of its connection.
     """
 
     attempt: str
@@ -39,6 +47,7 @@
     body: bytes
     error: str
     is_first: bool
+    tenant: str = LASTING_TENANT
 
 
 class Callers:
@@ -96,16 +105,19 @@
         rng: random.Random,
     ) -> Call:
         is_unsafe = rng.random() < UNSAFE_SHARE
-        version = 0
+        version, key, tenant = 0, LASTING_KEY, LASTING_TENANT
         path = "/unsafe/" if is_unsafe else "/safe/"
         if not is_unsafe and rng.random() < VERSION_SHARE:
             # The newest version, or the one before, whose route has been removed.
             version = max(1, self._site.version - rng.randrange(2))
             path = f"/v{version}/"
+            key, tenant = version_key(version), version_tenant(version)
         headers = {
             "Host": HOST_NAME,
             "X-Banyanshelf-Attempt-Id": attempt,
             "X-Banyanshelf-Deadline-Milliseconds": str(DEADLINE_MS),
+            "X-Banyanshelf-Credential": key,
+            "X-Banyanshelf-Tenant": "chosen-by-the-caller",
         }
         sent_at = time.monotonic()
         status, named, is_signed, body, error = 0, "", False, b"", ""
@@ -133,4 +145,5 @@
             body,
             error,
             is_first,
+            tenant,
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,12 +6,13 @@
 
 from banyanshelf_standins.platform_upstream import Run
 from soak.callers import Call
-from soak.site import LIMIT_PER_S
+from soak.site import LIMIT_PER_S, zone_of
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Bounds of the platform's pages, in seconds.
 CONFIGURATION_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
+EVACUATION_BOUND_S = 5.0
 # A gateway is held to the bounds after this time without a disturbance.
 STABLE_S = 3.0
 # Share of the calls after the last fault that must be answered by an upstream.
@@ -39,8 +40,9 @@
     ``disturbed_by_gateway`` holds the times in which a gateway, or what it depends on,
     was disturbed; ``stopped_by_gateway`` those of its planned stops.
     ``accepted_by_version`` and ``left_by_instance`` are the times at which the store
-    accepted a version or an instance's leaving. ``arrivals_by_instance`` are the times
-    of all requests at instances that state a limit.
+    accepted a version or an instance's leaving. ``evacuated_by_zone`` holds the times
+    in which a zone was evacuated. ``arrivals_by_instance`` are the times of all
+    requests at instances that state a limit.
     """
 
     calls: list[Call]
@@ -50,6 +52,7 @@
     stopped_by_gateway: dict[int, list[Span]]
     accepted_by_version: dict[int, float]
     left_by_instance: dict[str, float]
+    evacuated_by_zone: dict[str, list[Span]]
     last_fault_ended: float
     ended_by_themselves: list[str]
 
@@ -60,6 +63,7 @@
         *_foreign_answers(record),
         *_repeated_runs(record),
         *_false_refusals(record),
+        *_foreign_tenants(record),
         *(f"{each} ended by itself" for each in record.ended_by_themselves),
     ]
 
@@ -70,6 +74,7 @@
         *timeless_faults_found(record),
         *_old_configurations(record),
         *_late_work(record),
+        *_work_in_evacuated_zones(record),
         *_cut_by_planned_stops(record),
         *_beyond_limits(record),
         *_not_served_at_the_end(record),
@@ -104,6 +109,19 @@
     ]
 
 
+def _foreign_tenants(record: Record) -> list[str]:
+    call_by_attempt = {call.attempt: call for call in record.calls}
+    found = []
+    for attempt, runs in record.runs.items():
+        call = call_by_attempt.get(attempt)
+        for instance, run in runs:
+            if run.credential:
+                found.append(f"{attempt}: its key reached {instance}")
+            if call is not None and run.tenant != call.tenant:
+                found.append(f"{attempt}: ran for {run.tenant!r}, not {call.tenant}")
+    return found
+
+
 def _old_configurations(record: Record) -> list[str]:
     found = []
     for call in record.calls:
@@ -112,7 +130,7 @@
             continue
         removed = record.accepted_by_version.get(call.version + 1)
         if (
-            call.status == 404
+            call.status in (401, 404)
             and call.sent_at > accepted + CONFIGURATION_BOUND_S
             and (removed is None or call.ended_at < removed)
         ):
@@ -143,6 +161,23 @@
     return found
 
 
+def _work_in_evacuated_zones(record: Record) -> list[str]:
+    call_by_attempt = {call.attempt: call for call in record.calls}
+    found = []
+    for attempt, runs in record.runs.items():
+        call = call_by_attempt.get(attempt)
+        if call is None or _is_disturbed(record, call):
+            continue
+        found += [
+            f"{attempt}: ran at {instance} {run.at - span.begin:.2f} s after its zone "
+            "was evacuated"
+            for instance, run in runs
+            for span in record.evacuated_by_zone.get(zone_of(instance), [])
+            if span.begin + EVACUATION_BOUND_S < run.at < span.end
+        ]
+    return found
+
+
 def _cut_by_planned_stops(record: Record) -> list[str]:
     found = []
     for call in record.calls:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -13,6 +13,7 @@
 from soak.proxy import Direction
 from soak.schedule import (
     ChangeConfiguration,
+    EvacuateZone,
     Fault,
     HangUpGateway,
     HarmLink,
@@ -57,6 +58,7 @@
         self.stopped_by_gateway: dict[int, list[Span]] = defaultdict(list)
         self.accepted_by_version: dict[int, float] = {}
         self.left_by_instance: dict[str, float] = {}
+        self.evacuated_by_zone: dict[str, list[Span]] = defaultdict(list)
 
     def play(self, schedule: list[Planned]) -> None:
         """Inject each fault at its time and wait until all are over."""
@@ -93,6 +95,9 @@
             case ChangeConfiguration():
                 accepted = self._site.configure()
                 self.accepted_by_version[self._site.version] = accepted
+            case EvacuateZone(zone, for_s):
+                accepted = self._site.evacuate(zone, is_evacuated=True)
+                self._after(for_s, lambda: self._take_back(zone, accepted))
             case KillUpstream(number, down_s):
                 self._kill_upstream(number, down_s)
             case PauseUpstream(number, for_s):
@@ -231,6 +236,12 @@
 
         self._after(DRAIN_S, replace)
 
+    def _take_back(self, zone: str, accepted: float) -> None:
+        # The store may answer after gateways have learned of it.
+        span = Span(accepted, time.monotonic())
+        self._site.evacuate(zone, is_evacuated=False)
+        self.evacuated_by_zone[zone].append(span)
+
     # Links and store
 
     def _disturb_users(self, link: str, for_s: float) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,8 +23,8 @@
 from soak.callers import Callers
 from soak.checks import Record, faults_found
 from soak.injector import Injector
-from soak.schedule import draw_schedule
-from soak.site import running_site
+from soak.schedule import draw_evacuations, draw_schedule
+from soak.site import ZONES, running_site
 
 # Each caller keeps about a fifth of a slot busy.
 CALLERS_PER_UPSTREAM = 3
@@ -63,6 +63,8 @@
     """Play one seed; returns the broken promises."""
     rng = random.Random(seed)
     schedule = draw_schedule(rng, seconds, gateways, upstreams)
+    schedule += draw_evacuations(random.Random(f"{seed}/zones"), seconds, ZONES)
+    schedule.sort(key=lambda each: each.at)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     with running_site(folder, gateways, upstreams, limited) as site:
         callers = Callers(site, seed, upstreams * CALLERS_PER_UPSTREAM)
@@ -84,6 +86,7 @@
             injector.stopped_by_gateway,
             injector.accepted_by_version,
             injector.left_by_instance,
+            injector.evacuated_by_zone,
             ended,
             injector.ended_by_themselves,
         )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from soak.proxy import Direction
@@ -12,6 +13,8 @@
 MEAN_GAP_S = 1.2
 SHORTEST_FAULT_S = 0.3
 LONGEST_FAULT_S = 4.0
+# Some evacuations outlast the bound of 5 s within which gateways learn of them.
+LONGEST_EVACUATION_S = 9.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +111,14 @@
     """A new version adds a route and removes the one that the last version added."""
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuateZone:
+    """A zone is evacuated for some time."""
+
+    zone: str
+    for_s: float
+
+
 Fault = (
     KillGateway
     | PauseGateway
@@ -121,6 +132,7 @@
     | ResetLink
     | HarmStore
     | ChangeConfiguration
+    | EvacuateZone
 )
 
 
@@ -149,6 +161,22 @@
     return sorted(planned, key=lambda each: each.at)
 
 
+def draw_evacuations(
+    rng: random.Random, seconds: float, zones: Sequence[str]
+) -> list[Planned]:
+    """Return evacuations that do not overlap; at most one zone is empty.
+
+    They have a random source of their own, as older seeds must give the same faults.
+    """
+    planned: list[Planned] = []
+    at = rng.uniform(QUIET_START_S, LONGEST_EVACUATION_S)
+    while at < seconds:
+        for_s = rng.uniform(SHORTEST_FAULT_S, LONGEST_EVACUATION_S)
+        planned.append(Planned(at, EvacuateZone(rng.choice(zones), for_s)))
+        at += for_s + rng.uniform(SHORTEST_FAULT_S, LONGEST_EVACUATION_S)
+    return planned
+
+
 def _draw_fault(
     rng: random.Random, gateways: int, upstreams: int, links: list[str]
 ) -> Fault:
--- a/soak/site.py
+++ b/soak/site.py
@@ -36,6 +36,10 @@
 SERVICE = "desk"
 HOST_NAME = "soak.example"
 TIMEOUT_MS, TARGET_MS = 2000, 500
+# The tenant and the key of all calls that do not test a version.
+LASTING_TENANT, LASTING_KEY = "lasting", "key-lasting"
+# Upstreams alternate between the zones.
+ZONES = ("z", "y")
 # The request limit of the upstreams that state one.
 LIMIT_PER_S = 3.0
 
@@ -57,6 +61,26 @@
         """The id of the present instance."""
         return f"i-{self.number}-{self.generation}"
 
+    @property
+    def zone(self) -> str:
+        """The zone of all instances in this place."""
+        return zone_of(self.instance)
+
+
+def zone_of(instance: str) -> str:
+    """Return the zone of an instance."""
+    return ZONES[int(instance.split("-")[1]) % len(ZONES)]
+
+
+def version_key(version: int) -> str:
+    """Return the key that only one version has."""
+    return f"key-{version}"
+
+
+def version_tenant(version: int) -> str:
+    """Return the tenant that holds the key of a version."""
+    return f"tenant-{version % 2}"
+
 
 class SoakSite:
     """All processes of a run; see :func:`running_site`."""
@@ -167,7 +191,7 @@
         """Write the entry of a slot's instance; returns when it was accepted."""
         entry = {
             "address": slot.link_address,
-            "information": {"service": SERVICE, "zone": "z", "slots": 3},
+            "information": {"service": SERVICE, "zone": slot.zone, "slots": 3},
             "status": {"state": state, "sequence": 1, "warmupLeftMs": 0},
             "born": 1 + slot.generation,
         }
@@ -226,10 +250,22 @@
                 "rows": [[SERVICE, "/health"]],
             },
             "limits": {"idleTimeoutMs": 15000},
+            "tenants": {
+                "columns": ["name", "apiKeys"],
+                "rows": [
+                    [LASTING_TENANT, [LASTING_KEY]],
+                    [version_tenant(self.version), [version_key(self.version)]],
+                ],
+            },
         }
         self.write({"op/config": record})
         return time.monotonic()
 
+    def evacuate(self, zone: str, *, is_evacuated: bool) -> float:
+        """Evacuate a zone or take that back; returns when it was accepted."""
+        self.write({f"op/evacuate/{zone}": {} if is_evacuated else None})
+        return time.monotonic()
+
     def set_store(self, **behaviour: Any) -> None:
         """Change the behaviour of the store."""
         call_json("POST", self.store_control, "/behaviour", behaviour)
