Draw on the quota of the workspace that a key has moved to

Cause: a waiting call whose key moved to another workspace had drawn on the quota of the former one, and its second request for a permit did not count.

Change: it counts unless the call has already been sent.

Conclusion: the requests of a workspace are those that are sent in its name.

--- a/features/daemon/workspaces.feature
+++ b/features/daemon/workspaces.feature
@@ -22,7 +22,7 @@
       | refusal of a new key on a connection   | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-2 >> GET /a >> keys one=k-1,k-2 >> GET /a >> 200 ok | answer 200 ok; sent 1 |
       | old key of a waiting request           | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one=k-2 >> grant | answer 401 not_run; sent 0; released cancelled |
       | old key of a waiting unsafe request    | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> POST /a >> keys one= >> grant | answer 401 not_run; sent 0; released cancelled |
-      | former workspace of a waiting request  | keys one=k-1 two= >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one= two=k-1 >> grant >> 200 ok | answer 200 ok; got Banyanshelf-Workspace: two; workspaces one two; released cancelled answered |
+      | former workspace of a waiting request  | keys one=k-1 two= >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one= two=k-1 >> grant >> 200 ok | answer 200 ok; got Banyanshelf-Workspace: two; workspaces one two; draws True; released cancelled answered |
       | priority of a former workspace         | keys one=k-1@2 two= >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one=@2 two=k-1 >> grant >> 200 ok | answer 200 ok; priorities 2 0 |
       | priority of the route for a workspace's own | keys one=k-1@3 >> with Banyanshelf-Workspace-Key: k-1 >> GET /a >> 200 ok | priorities 3 |
       | refusal after a change is taken back   | keys one=k-1 >> with Banyanshelf-Workspace-Key: k-1 >> hold_permits >> GET /a >> keys one= >> keys one=k-1 >> grant >> 200 ok | answer 200 ok; workspaces one |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -385,6 +385,7 @@
     "priorities": lambda c: " ".join(
         dict.fromkeys(str(each.priority) for each in c.path.permits.requests)
     ),
+    "draws": lambda c: str(c.path.permits.requests[-1].counts_toward_quota),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -317,7 +317,8 @@
             return False
         self.release_unused(permit)
         if problem is None:
-            # The permit counts towards the quota of the former workspace.
+            # The permit has drawn on the quota of the former workspace.
+            self._is_counted = self._attempt_count > 0
             self.admit()
         elif self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
