Let calls wait for room at the gateway that places them

Cause: bursts of a third of a second are refused or slow all upstreams down, and callers use up their one return.

Change: `call_queue` holds the waiting calls of a service at the aggregator, which a small zone gets too if its calls wait. The aggregator repeats a notice for each waiting call; a gateway that hears no more of it places the call itself, without a queue. Gateways withdraw calls whose callers have left.

--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -14,8 +14,8 @@
     "{count:d} gateways whose aggregator places their calls at {upstreams:d} upstreams "
     "of {slots:d} slots"
 )
-def step_zone(context, count, upstreams, slots):
-    context.zone = AdmissionZone(count, upstreams, slots, random.Random(5))
+def step_zone(context, count, upstreams, slots, **options):
+    context.zone = AdmissionZone(count, upstreams, slots, random.Random(5), **options)
     context.zone.settle(6.0)
     for admission in context.zone.sharings.values():
         estimate = admission.loads.selector_by_service[SERVICE].estimate
@@ -23,6 +23,14 @@
             estimate.add_sample("/", 0.1, nearly_full=False)
 
 
+@given(
+    "{count:d} gateways whose calls wait for room at {upstreams:d} upstreams of "
+    "{slots:d} slots"
+)
+def step_waiting_zone(context, count, upstreams, slots):
+    step_zone(context, count, upstreams, slots, waits=True)
+
+
 @when("all gateways together place {count:d} calls")
 @when("the other gateways together place {count:d} calls")
 def step_place(context, count):
@@ -157,3 +165,92 @@
 @then("the gateway is notified that the call is late")
 def step_late(context):
     assert context.calls[0].is_late
+
+
+def _others(context):
+    aggregator = context.zone.aggregator()
+    return [each for each in sorted(context.zone.sharings) if each != aggregator]
+
+
+@when("as many calls as there is room for are placed")
+def step_fill(context):
+    names, context.running = _others(context), []
+    slots = sum(each.slots for each in context.zone.directory.upstreams.values())
+    for number in range(slots):
+        call = context.zone.place(names[number % len(names)], target_s=1.0)
+        context.zone.settle(SETTLE_TIME_S)
+        if call.permit is None:
+            call.deferred.cancel()
+            context.zone.settle(SETTLE_TIME_S)
+            return
+        context.running.append(call)
+
+
+@when("{count:d} further calls of priority {priority:d} wait")
+def step_wait(context, count, priority):
+    names = _others(context)
+    context.waiting = getattr(context, "waiting", [])
+    for number in range(count):
+        name = names[number % len(names)]
+        context.waiting.append(context.zone.place(name, 0.6, priority))
+    context.zone.settle(0.15)
+    assert not any(each.permit or each.error for each in context.waiting)
+
+
+@when("{count:d} running calls end")
+@when("{count:d} running call ends")
+def step_end_some(context, count):
+    for _ in range(count):
+        context.running.pop().end()
+    context.zone.settle(SETTLE_TIME_S)
+
+
+@when("the caller of the first waiting call leaves")
+def step_leave(context):
+    context.waiting[0].deferred.cancel()
+    context.zone.settle(SETTLE_TIME_S)
+
+
+@when("{count:d} running call ends while the answer to the waiting call is lost")
+def step_end_lost_reply(context, count):
+    aggregator, zone = context.zone.aggregator(), context.zone
+    name = context.waiting[0].name
+    link = zone.sharings[aggregator]._sharing._gossip
+    send_to, receiver = link.send_to, zone.sharings[name]._sharing._identity.address
+    link.send_to = lambda addresses, datagram: send_to(
+        [each for each in addresses if each != receiver], datagram
+    )
+    step_end_some(context, count)
+    link.send_to = send_to
+
+
+@then("the waiting calls of priority {priority:d} are placed and no others")
+def step_placed_priority(context, priority):
+    for call in context.waiting:
+        asked = call.priority == priority
+        assert (call.permit is not None) == asked, (call.priority, call.error)
+
+
+@then("the second waiting call is placed and the first one is not")
+def step_second_placed(context):
+    first, second = context.waiting
+    assert first.permit is None and second.permit is not None
+
+
+@then("each waiting call is decided within {limit:g} s")
+def step_decided(context, limit):
+    begun = context.zone.reactor.seconds()
+    while any(not (each.permit or each.error) for each in context.waiting):
+        context.zone.settle(SETTLE_TIME_S)
+        assert context.zone.reactor.seconds() - begun <= limit + SETTLE_TIME_S
+
+
+@then("the waiting call is placed within {limit:g} s")
+def step_waiting_placed(context, limit):
+    step_decided(context, limit)
+    assert context.waiting[0].permit is not None, context.waiting[0].error
+
+
+@then("the aggregator counts the running and the waiting calls")
+def step_counts_running(context):
+    step_counts(context, len(context.running) + len(context.waiting))
--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -10,6 +10,7 @@
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import AnswerKind, LoadReport, Upstream
 from banyanshelf_core.replica import ORIGIN
+from banyanshelf_core.text import OperatorText, Service
 from banyanshelf_daemon.interfaces import PermitRequest
 from banyanshelf_daemon.shared_admission import SharedAdmission
 
@@ -21,9 +22,9 @@
 class Directory:
     """The upstreams of one service, and a configuration with this service."""
 
-    def __init__(self, upstreams):
+    def __init__(self, upstreams, *, waits=False):
         self.upstreams = upstreams
-        text = SimpleNamespace(services={SERVICE: None})
+        text = OperatorText(services={SERVICE: Service(wait_for_room=waits)})
         self.text = SimpleNamespace(text=text)
 
     def active(self):
@@ -64,9 +65,9 @@
 class AdmissionZone(LoadZone):
     """A zone whose gateways admit calls; see ``LoadZone`` for the network."""
 
-    def __init__(self, count, upstreams, slots, rng, **options):
+    def __init__(self, count, upstreams, slots, rng, *, waits=False, **options):
         listed = [self.upstream_of(number, slots) for number in range(upstreams)]
-        self.directory = Directory({each.id: each for each in listed})
+        self.directory = Directory({each.id: each for each in listed}, waits=waits)
         self.probe_count = Counter()
         self.calls = []
         super().__init__(count, upstreams, rng, **options)
@@ -95,7 +96,7 @@
         self.sharings[name].note_load_report(upstream.id, report)
         return succeed(True)
 
-    def place(self, name, target_s=TARGET_S):
+    def place(self, name, target_s=TARGET_S, priority=0):
         """Start a call; its result arrives after some steps of the clock."""
         now = self.reactor.seconds()
         request = PermitRequest(
@@ -108,10 +109,11 @@
             False,
             "/",
             now + target_s,
-            0,
+            priority,
             lambda: self._note_late(call),
         )
         call = SimulatedCall(self, name, self.sharings[name].acquire(SERVICE, request))
+        call.priority = priority
         self.calls.append(call)
         return call
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -246,6 +246,24 @@
     pause_s: Seconds = 0.0
 
 
+class WaitingNotice(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """Says that the aggregator has queued calls of the receiver, and still has them.
+
+    It is repeated while they wait; a gateway that hears nothing more of a call places
+    it itself.
+    """
+
+    sender: MemberId
+    numbers: list[int]
+
+
+class PlacementWithdrawal(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Says that the sender needs no placement of this call any more."""
+
+    sender: MemberId
+    number: int
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -260,4 +278,6 @@
     | DepartureNotice
     | CrashDigest
     | UpstreamStatement
+    | WaitingNotice
+    | PlacementWithdrawal
 )
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, fail, succeed
 
 from banyanshelf_core.placement.choice import PlacementSelector
-from banyanshelf_core.placement.decisions import Placed, PlacementRequest
+from banyanshelf_core.placement.decisions import Placed, PlacementRequest, Refused
 from banyanshelf_daemon.health_questions import HealthProber
 from banyanshelf_daemon.interfaces import NotAdmittedError
 from banyanshelf_daemon.request_limiter import RequestLimiter
@@ -21,6 +22,8 @@
 # Limits that are asked for one call; a caller does not wait for more.
 MAX_LIMIT_QUERIES = 8
 
+ChoosePlacement = Callable[[float, PlacementRequest], Placed | Refused]
+
 
 class Reservation(NamedTuple):
     """A placed call, counted at its upstream with ``PlacementSelector.start_call``."""
@@ -46,19 +49,30 @@
         self._limiter = limiter
 
     def place(
-        self, selector: PlacementSelector, request: PlacementRequest
+        self,
+        selector: PlacementSelector,
+        request: PlacementRequest,
+        choose: ChoosePlacement | None = None,
     ) -> Deferred[Reservation]:
-        """Place a call; most need no query and are placed at once."""
-        now = self._reactor.seconds()
-        found = selector.choose(now, request)
+        """Place a call; most need no query and are placed at once.
+
+        ``choose`` replaces the selector's own choice.
+        """
+        choose = choose or selector.choose
+        found = choose(self._reactor.seconds(), request)
         if not isinstance(found, Placed):
             return fail(NotAdmittedError(found.reason, found.retry_after_s))
         if found.request_limit is None and not _is_report_missing(found):
             return succeed(self._reserve(selector, found))
-        return Deferred.fromCoroutine(self._place_after_queries(selector, request))
+        return Deferred.fromCoroutine(
+            self._place_after_queries(selector, request, choose)
+        )
 
     async def _place_after_queries(
-        self, selector: PlacementSelector, request: PlacementRequest
+        self,
+        selector: PlacementSelector,
+        request: PlacementRequest,
+        choose: ChoosePlacement,
     ) -> Reservation:
         probes = queries = 0
         while True:
@@ -66,7 +80,7 @@
                 request = request._replace(
                     max_remote_report_age_s=MAX_REMOTE_REPORT_AGE_S
                 )
-            found = selector.choose(self._reactor.seconds(), request)
+            found = choose(self._reactor.seconds(), request)
             if not isinstance(found, Placed):
                 raise NotAdmittedError(found.reason, found.retry_after_s)
             if found.request_limit is not None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/load_sharing.py
@@ -90,7 +90,8 @@
 
     ``store_state`` returns the newest known position in the store's history, and how
     long the store has answered this gateway in that generation without interruption, in
-    seconds.
+    seconds. ``is_queue_used`` returns whether calls wait for room, which takes an
+    aggregator in a small zone too, as the queue of a zone is kept at one place.
     """
 
     def __init__(
@@ -100,12 +101,14 @@
         sink: LoadSink,
         calls: PlacedCalls,
         store_state: Callable[[], tuple[StorePosition, float]],
+        is_queue_used: Callable[[], bool] = lambda: False,
     ) -> None:
         self._reactor = reactor
         self._gossip = gossip
         self._sink = sink
         self._calls = calls
         self._store_state = store_state
+        self._is_queue_used = is_queue_used
         self._identity = gossip.members.identity
         self._selector = AggregatorSelector(self._identity)
         self._builder = DigestBuilder(self._identity)
@@ -257,7 +260,7 @@
         self._sink.apply_limits(update.limits)
         members = self._gossip.members
         sender = members.row_of(update.sender)
-        if sender is None or not members.is_large_zone:
+        if sender is None or not self._needs_aggregator():
             return
         self._builder.add_update(self._reactor.seconds(), sender, update)
         placed = set(update.placed_calls) if update.is_full_snapshot else None
@@ -285,7 +288,7 @@
     def _check_aggregator(self) -> None:
         members = self._gossip.members
         previous = self._aggregator
-        if members.is_large_zone:
+        if self._needs_aggregator():
             ranked = members.ranked_in_zone(f"digest/{self._identity.zone}")
             now = self._reactor.seconds()
             self._aggregator = self._selector.select(now, ranked)
@@ -301,6 +304,9 @@
         self._sink.retain_sources(self._valid_sources())
         self._publish_full_snapshot()
 
+    def _needs_aggregator(self) -> bool:
+        return self._gossip.members.is_large_zone or self._is_queue_used()
+
     def _valid_sources(self) -> set[MemberId]:
         """Return the sources whose counts are valid."""
         if self._aggregator is None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -3,6 +3,10 @@
 A placement takes one query datagram and one reply datagram. Without a reply, the
 gateway places the call itself from its own load data, so that the loss of an aggregator
 costs only a short timeout.
+
+The aggregator may queue a call until there is room. It says so in a notice, which it
+repeats while the call waits; a gateway that hears nothing more places the call itself.
+A gateway that needs no placement any more withdraws its call.
 """
 
 from __future__ import annotations
@@ -11,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from logbook import Logger
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
 from banyanshelf_core.call_messages import AnswerSample
@@ -20,6 +24,8 @@
     LateCallNotice,
     PlacementQuery,
     PlacementReply,
+    PlacementWithdrawal,
+    WaitingNotice,
 )
 from banyanshelf_core.errors import BanyanshelfError
 from banyanshelf_core.model import (
@@ -30,12 +36,17 @@
     UpstreamId,
 )
 from banyanshelf_core.placement.decisions import PlacementRequest
+from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
 
 # Within a zone a reply takes about 1 ms, and up to 30 ms more if upstreams of a remote
 # zone are probed first.
 PLACEMENT_TIMEOUT_S = 0.06
+# Notices about calls that wait at the aggregator are repeated after this time.
+WAITING_NOTICE_PERIOD_S = 0.04
+# Two notices may be lost before the aggregator is taken to have lost a waiting call.
+WAITING_TIMEOUT_S = 0.13
 # A call of this age that its gateway no longer lists as in progress has ended, and the
 # datagram about its end was lost. Younger calls may not be listed yet.
 UNLISTED_CALL_TIMEOUT_S = 0.1
@@ -54,8 +65,10 @@
         self._reactor = reactor
         self._gossip = gossip
         self._pending_by_number: dict[int, Deferred[PlacementReply]] = {}
+        self._timer_by_number: dict[int, Any] = {}
         self._handle_late_reply: Callable[[int], None] = lambda number: None
         gossip.on_datagram(PlacementReply, self._on_reply)
+        gossip.on_datagram(WaitingNotice, self._on_waiting)
 
     def on_late_answer(self, handler: Callable[[int], None]) -> None:
         """Call ``handler`` with the number of a call whose placement came too late."""
@@ -68,7 +81,10 @@
         service_name: ServiceName,
         placement_request: PlacementRequest,
     ) -> Deferred[PlacementReply]:
-        """Request a placement; fails with :class:`NoPlacementError`."""
+        """Request a placement; fails with :class:`NoPlacementError`.
+
+        Cancelling the Deferred withdraws the call.
+        """
         now = self._reactor.seconds()
         self._gossip.send_to(
             [aggregator.address],
@@ -86,12 +102,18 @@
                 placement_request.counts_toward_quota,
             ),
         )
-        result: Deferred[PlacementReply] = Deferred()
+        result: Deferred[PlacementReply] = Deferred(
+            lambda _deferred: self._withdraw(aggregator, number)
+        )
         self._pending_by_number[number] = result
-        timer = self._reactor.callLater(PLACEMENT_TIMEOUT_S, self._expire, number)
+        timer = self._reactor.callLater(
+            PLACEMENT_TIMEOUT_S, self._expire, aggregator, number
+        )
+        self._timer_by_number[number] = timer
 
         def finished(found: PlacementReply | Failure) -> PlacementReply | Failure:
             self._pending_by_number.pop(number, None)
+            del self._timer_by_number[number]
             if timer.active():
                 timer.cancel()
             return found
@@ -110,13 +132,25 @@
                 NoPlacementError("the aggregator does not know the service")
             )
 
-    def _expire(self, number: int) -> None:
+    def _on_waiting(self, notice: WaitingNotice, _address: str) -> None:
+        for number in notice.numbers:
+            timer = self._timer_by_number.get(number)
+            if timer is not None and timer.active():
+                timer.reset(WAITING_TIMEOUT_S)
+
+    def _withdraw(self, aggregator: Member, number: int) -> None:
+        own_id = self._gossip.members.identity.id
+        self._gossip.send_to([aggregator.address], PlacementWithdrawal(own_id, number))
+
+    def _expire(self, aggregator: Member, number: int) -> None:
         waiting = self._pending_by_number.get(number)
         if waiting is not None:
             log.info(
-                "aggregator did not answer a placement query within {} s",
-                PLACEMENT_TIMEOUT_S,
+                "aggregator {} has not answered a placement query in time; "
+                "placing the call here",
+                aggregator.id,
             )
+            self._withdraw(aggregator, number)
             waiting.errback(NoPlacementError("the aggregator did not answer in time"))
 
 
@@ -125,11 +159,18 @@
     placed_at: float
 
 
+class _WaitingPeerCall(NamedTuple):
+    pending: Deferred[None]
+    address: str
+
+
 class PlacementServer:
     """Places calls for other gateways and releases their permits when they end.
 
-    ``place`` places a call or fails with :class:`NotAdmittedError`; it returns None for
-    an unknown service. ``release`` releases the permit of a call that has ended.
+    ``place`` places a call, possibly after a wait, or fails with
+    :class:`NotAdmittedError`; it returns None for an unknown service. ``release``
+    releases the permit of a call that has ended. ``is_queue_used`` returns whether the
+    calls of a service may wait.
     """
 
     def __init__(
@@ -141,18 +182,30 @@
             Deferred[Permit] | None,
         ],
         release: Callable[[Permit, AnswerSample], None],
+        is_queue_used: Callable[[ServiceName], bool],
     ) -> None:
         self._reactor = reactor
         self._gossip = gossip
         self._place = place
+        self._is_queue_used = is_queue_used
         self._release = release
         self._placed_by_sender: dict[MemberId, dict[int, _PeerCall]] = {}
+        self._waiting_by_sender: dict[MemberId, dict[int, _WaitingPeerCall]] = {}
+        self._notice_task = PeriodicTask(reactor, self._repeat_notices, "wait notices")
         gossip.on_datagram(PlacementQuery, self._on_query)
+        gossip.on_datagram(PlacementWithdrawal, self._on_withdrawal)
+
+    def stop(self) -> None:
+        """Stop the periodic task."""
+        self._notice_task.stop()
 
     def retain_senders(self, senders: Iterable[MemberId]) -> None:
         """End the calls of gateways other than ``senders``, which have left."""
-        departed = set(self._placed_by_sender) - set(senders)
-        for sender in departed:
+        retained = set(senders)
+        for sender in self._waiting_by_sender.keys() - retained:
+            for number in list(self._waiting_by_sender[sender]):
+                self._on_withdrawal(PlacementWithdrawal(sender, number), "")
+        for sender in self._placed_by_sender.keys() - retained:
             for number in list(self._placed_by_sender[sender]):
                 self._end(sender, number, AnswerKind.CANCELLED, 0)
 
@@ -190,8 +243,45 @@
         if pending is None:
             self._gossip.send_to([address], PlacementReply(number, False))
             return
+        pending.addBoth(self._wait_over, query)
         pending.addCallback(self._placed, query, address)
-        pending.addErrback(self._refused, number, address)
+        is_decided = pending.called
+        answered: Deferred[None] = pending.addErrback(self._refused, number, address)
+        if not is_decided:
+            self._note_waiting(query, answered, address)
+
+    def _note_waiting(
+        self, query: PlacementQuery, pending: Deferred[None], address: str
+    ) -> None:
+        calls = self._waiting_by_sender.setdefault(query.sender, {})
+        calls[query.number] = _WaitingPeerCall(pending, address)
+        if not self._is_queue_used(query.service):
+            return
+        self._gossip.send_to([address], self._notice([query.number]))
+        if not self._notice_task.is_running:
+            self._notice_task.start(WAITING_NOTICE_PERIOD_S)
+
+    def _notice(self, numbers: list[int]) -> WaitingNotice:
+        return WaitingNotice(self._gossip.members.identity.id, numbers)
+
+    def _repeat_notices(self) -> None:
+        if not self._waiting_by_sender:
+            self._notice_task.stop()
+        for calls in self._waiting_by_sender.values():
+            address = next(iter(calls.values())).address
+            self._gossip.send_to([address], self._notice(list(calls)))
+
+    def _wait_over(self, result: Any, query: PlacementQuery) -> Any:
+        calls = self._waiting_by_sender.get(query.sender, {})
+        if calls.pop(query.number, None) is not None and not calls:
+            del self._waiting_by_sender[query.sender]
+        return result
+
+    def _on_withdrawal(self, withdrawal: PlacementWithdrawal, _address: str) -> None:
+        calls = self._waiting_by_sender.get(withdrawal.sender, {})
+        call = calls.get(withdrawal.number)
+        if call is not None:
+            call.pending.cancel()
 
     def _placed(self, permit: Permit, query: PlacementQuery, address: str) -> None:
         calls = self._placed_by_sender.setdefault(query.sender, {})
@@ -209,6 +299,8 @@
         self._gossip.send_to([address], answer)
 
     def _refused(self, failure: Failure, number: int, address: str) -> None:
+        if failure.check(CancelledError):
+            return
         failure.trap(NotAdmittedError)
         error = failure.value
         answer = PlacementReply(number, True, "", error.reason, error.retry_after_s)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -38,6 +38,7 @@
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.call_placer import CallPlacer, Reservation
+from banyanshelf_daemon.call_queue import CallQueues
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.health_questions import HealthProber
 from banyanshelf_daemon.interfaces import (
@@ -49,6 +50,7 @@
     UpstreamDirectory,
 )
 from banyanshelf_daemon.load_sharing import LoadSharing
+from banyanshelf_daemon.metrics import Metrics
 from banyanshelf_daemon.remote_placement import (
     NoPlacementError,
     PlacementClient,
@@ -100,11 +102,12 @@
 
 
 class SharedAdmission:
-    """Implements ``PermitService``; calls are placed or refused without a queue.
+    """Implements ``PermitService``; calls are placed, refused or wait for room.
 
-    In a large zone the aggregator places the calls of all gateways. ``probe`` sends a
-    health probe; see :class:`~.health_questions.HealthProber`. ``store_state`` is
-    described at :class:`~.load_sharing.LoadSharing`.
+    Calls wait only for the services whose configuration asks for it. In a large zone
+    the aggregator places the calls of all gateways. ``probe`` sends a health probe; see
+    :class:`~.health_questions.HealthProber`. ``store_state`` is described at
+    :class:`~.load_sharing.LoadSharing`.
     """
 
     def __init__(
@@ -117,6 +120,7 @@
         rng: random.Random,
         probe: ProbeSender,
         store_state: Callable[[], tuple[StorePosition, float]],
+        metrics: Metrics | None = None,
     ) -> None:
         self._reactor = reactor
         self._directory = directory
@@ -128,7 +132,14 @@
         # A restarted gateway must not reuse the call numbers of its previous run.
         self._last_number = rng.getrandbits(CALL_NUMBER_BITS)
         self._aggregator_placed_by_upstream: Counter[UpstreamId] = Counter()
-        self._sharing = LoadSharing(reactor, gossip, self.loads, self, store_state)
+        self._sharing = LoadSharing(
+            reactor,
+            gossip,
+            self.loads,
+            self,
+            store_state,
+            lambda: self._queues.is_used(),
+        )
         self._client = PlacementClient(reactor, gossip)
         self._client.on_late_answer(
             lambda number: self._sharing.publish_call_end(
@@ -136,7 +147,11 @@
             )
         )
         self._server = PlacementServer(
-            reactor, gossip, self._place_for_peer, self.release
+            reactor,
+            gossip,
+            self._place_for_peer,
+            self.release,
+            lambda service_name: self._queues.is_enabled(service_name),
         )
         gossip.on_datagram(LateCallNotice, self._on_call_late)
         self._limiter = RequestLimiter(reactor, gossip, self.loads, rng)
@@ -144,6 +159,14 @@
             reactor, zone, self.loads, self._sharing, gossip, self._limiter, probe
         )
         self._placer = CallPlacer(reactor, self._prober, self._limiter)
+        self._queues = CallQueues(
+            reactor,
+            self._placer,
+            self.loads,
+            configuration,
+            rng,
+            metrics or Metrics(reactor),
+        )
         self._ticker = PeriodicTask(reactor, self._tick, "admission")
 
     def start(self) -> None:
@@ -156,6 +179,8 @@
         """Stop the periodic tasks."""
         self._ticker.stop()
         self._sharing.stop()
+        self._queues.stop()
+        self._server.stop()
 
     def announce_departure(self) -> None:
         """Tell the other gateways that this one is shutting down."""
@@ -202,7 +227,9 @@
         number = self._last_number
 
         def place_here() -> Deferred[Permit]:
-            return self._place(service_name, selector, placement_request, on_late)
+            return self._place(
+                service_name, selector, placement_request, on_late, may_wait=False
+            )
 
         def placed(answer: PlacementReply) -> Permit | Deferred[Permit]:
             if not answer.upstream:
@@ -260,8 +287,14 @@
         selector: PlacementSelector,
         placement_request: PlacementRequest,
         on_late: Callable[[], None] | None,
+        *,
+        may_wait: bool = True,
     ) -> Deferred[Permit]:
-        """Place a call by this gateway's own load data."""
+        """Place a call by this gateway's own load data.
+
+        Without ``may_wait``, it is placed or refused at once: a gateway that cannot ask
+        the aggregator does not know who else waits.
+        """
 
         def placed(reservation: Reservation) -> Permit:
             found, progress_s = reservation
@@ -283,7 +316,11 @@
                 _basis(found),
             )
 
-        return self._placer.place(selector, placement_request).addCallback(placed)
+        if may_wait and self._queues.is_enabled(service_name):
+            pending = self._queues.place(service_name, selector, placement_request)
+        else:
+            pending = self._placer.place(selector, placement_request)
+        return pending.addCallback(placed)
 
     def release(self, permit: Permit, sample: AnswerSample) -> None:
         """Count the end of a call; further releases have no effect."""
@@ -298,6 +335,7 @@
         now = self._reactor.seconds()
         attempt = running.attempt
         selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
+        self._queues.room_freed(running.service_name)
         if running.is_placed_by_aggregator:
             self._aggregator_placed_by_upstream[sample.upstream] -= 1
             if not self._aggregator_placed_by_upstream[sample.upstream]:
