--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+import msgspec
 from simulated_gossip import LoadZone
 from twisted.internet.defer import succeed
 
@@ -26,12 +27,19 @@
         self.upstreams = upstreams
         text = OperatorText(services={SERVICE: Service(wait_for_room=waits)})
         self.text = SimpleNamespace(text=text)
+        self.handlers = []
 
     def active(self):
         return self.text
 
     def on_change(self, handler):
-        pass
+        self.handlers.append(handler)
+
+    def set_workspaces(self, workspaces):
+        text = msgspec.structs.replace(self.text.text, workspaces=workspaces)
+        self.text = SimpleNamespace(text=text)
+        for handler in self.handlers:
+            handler(self.text)
 
     def on_upstreams_change(self, handler):
         pass
@@ -96,7 +104,7 @@
         self.sharings[name].note_load_report(upstream.id, report)
         return succeed(True)
 
-    def place(self, name, target_s=TARGET_S, priority=0):
+    def place(self, name, target_s=TARGET_S, workspace="", priority=0):
         """Start a call; its result arrives after some steps of the clock."""
         now = self.reactor.seconds()
         request = PermitRequest(
@@ -111,6 +119,8 @@
             now + target_s,
             priority,
             lambda: self._note_late(call),
+            workspace,
+            True,
         )
         call = SimulatedCall(self, name, self.sharings[name].acquire(SERVICE, request))
         call.priority = priority
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -358,13 +358,23 @@
         ]
 
     def _utilization(self, now: float) -> float:
-        """Return the share of the local zone's slots that are in use."""
-        used = slots = 0.0
-        for load in self.local_loads():
-            if load.takes_calls(now):
-                used += min(load.upstream.slots, load.in_flight(now))
+        """Return the share of the local zone's slots that are in use.
+
+        Without a usable upstream there, it is the share of all slots.
+        """
+        used = slots = all_used = all_slots = 0.0
+        for load in self.loads_by_id.values():
+            if not load.takes_calls(now):
+                continue
+            in_use = min(load.upstream.slots, load.in_flight(now))
+            all_used += in_use
+            all_slots += load.upstream.slots
+            if load.upstream.zone == self._zone:
+                used += in_use
                 slots += load.upstream.slots
-        return used / slots if slots else 1.0
+        if slots:
+            return used / slots
+        return all_used / all_slots if all_slots else 1.0
 
     def candidates(
         self, now: float, request: PlacementRequest, *, is_same_zone: bool
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -38,7 +38,11 @@
 from banyanshelf_core.placement.decisions import PlacementRequest
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.gossip_link import GossipLink
-from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    Permit,
+    QuotaExceededError,
+)
 
 # Within a zone a reply takes about 1 ms, and up to 30 ms more if upstreams of a remote
 # zone are probed first.
@@ -160,7 +164,7 @@
 
 
 class _WaitingPeerCall(NamedTuple):
-    pending: Deferred[None]
+    pending: Deferred[Permit]
     address: str
 
 
@@ -243,23 +247,17 @@
         if pending is None:
             self._gossip.send_to([address], PlacementReply(number, False))
             return
+        waiting = self._waiting_by_sender.setdefault(query.sender, {})
+        waiting[number] = _WaitingPeerCall(pending, address)
         pending.addBoth(self._wait_over, query)
         pending.addCallback(self._placed, query, address)
-        is_decided = pending.called
-        answered: Deferred[None] = pending.addErrback(self._refused, number, address)
-        if not is_decided:
-            self._note_waiting(query, answered, address)
-
-    def _note_waiting(
-        self, query: PlacementQuery, pending: Deferred[None], address: str
-    ) -> None:
-        calls = self._waiting_by_sender.setdefault(query.sender, {})
-        calls[query.number] = _WaitingPeerCall(pending, address)
-        if not self._is_queue_used(query.service):
-            return
-        self._gossip.send_to([address], self._notice([query.number]))
-        if not self._notice_task.is_running:
-            self._notice_task.start(WAITING_NOTICE_PERIOD_S)
+        pending.addErrback(self._refused, number, address)
+        # A Deferred that waits for another one counts as called.
+        is_waiting = number in self._waiting_by_sender.get(query.sender, {})
+        if is_waiting and self._is_queue_used(query.service):
+            self._gossip.send_to([address], self._notice([number]))
+            if not self._notice_task.is_running:
+                self._notice_task.start(WAITING_NOTICE_PERIOD_S)
 
     def _notice(self, numbers: list[int]) -> WaitingNotice:
         return WaitingNotice(self._gossip.members.identity.id, numbers)
@@ -303,7 +301,14 @@
             return
         failure.trap(NotAdmittedError)
         error = failure.value
-        answer = PlacementReply(number, True, "", error.reason, error.retry_after_s)
+        answer = PlacementReply(
+            number,
+            True,
+            "",
+            error.reason,
+            error.retry_after_s,
+            is_over_quota=isinstance(error, QuotaExceededError),
+        )
         self._gossip.send_to([address], answer)
 
     def _end(
