Compare paths with entry routes as they were sent

Cause: paths were decoded and repeated slashes merged before they were compared with the prefixes of entry routes, and forwarded as sent. A request could match a longer prefix that does not begin its path, and a percent-encoded prefix in a configuration never matched. Hosts with a port or another case were read differently in requests and in the text.

Change: entry routes compare the path as sent. The prefixes of services and of their rules are still compared in decoded form, so that a rule cannot be bypassed by spelling, but now in the text too. Both sides read hosts through one function. A text whose prefixes or hosts coincide in this reading, or that has a prefix with dot segments or backslashes, which no request can match, is refused. Paths with dot segments or backslashes are refused as before; docs/design.md gives the reason.

--- a/features/core/matching.feature
+++ b/features/core/matching.feature
@@ -15,7 +15,7 @@
 
       [services.archive]
       hosts = ["desk.example"]
-      path_prefixes = ["/archive"]
+      path_prefixes = ["/archive", "/a%20b", "//double"]
 
       [services.other]
       """
@@ -33,9 +33,27 @@
       | POST   | /pay/quotes   | desk.example    | desk idempotent 0.1       |
       | PUT    | /pay/quotes   | desk.example    | desk idempotent keyed 0.9 |
       | PATCH  | /x            | other.example   | other 2.0                 |
+      | GET    | /a%20b/1      | desk.example    | archive idempotent 2.0    |
+      | GET    | /a%20bc       | desk.example    | desk idempotent 0.9       |
+      | GET    | /%61%20b      | desk.example    | archive idempotent 2.0    |
+      | GET    | /double       | desk.example    | archive idempotent 2.0    |
+      | GET    | /archive%2F7  | desk.example    | archive idempotent 2.0    |
       | POST   | //pay         | desk.example    | desk keyed 0.9            |
       | POST   | /%70ay        | desk.example    | desk keyed 0.9            |
       | GET    | /a/../pay     | desk.example    | 400                       |
       | GET    | /a/%2E%2e/pay | desk.example    | 400                       |
       | GET    | /./pay        | desk.example    | 400                       |
       | GET    | /a\pay        | desk.example    | 400                       |
+
+  # Guards against rules that are accepted and then match no request, and against two
+  # services whose prefixes are spellings of the same one.
+  Scenario Outline: A text with <fault> is refused
+    Then the text "<services>" is refused because of "<problem>"
+
+    Examples:
+      | fault                   | services                                                   | problem          |
+      | dot segments            | [services.a]\npath_prefixes = ["/a/../b"]                  | dot segments     |
+      | encoded dot segments    | [services.a]\npath_prefixes = ["/%2e%2E/b"]                | dot segments     |
+      | an encoded backslash    | [services.a]\nroutes = [{path_prefix = "/a%5Cb"}]          | dot segments     |
+      | one prefix spelt twice  | [services.a]\npath_prefixes = ["/ab"]\n[services.b]\npath_prefixes = ["//%61b"] | match service |
+      | one host spelt twice    | [services.a]\nhosts = ["A"]\n[services.b]\nhosts = ["a:80"] | match service    |
--- a/packages/banyanshelf-core/src/banyanshelf_core/matching.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/matching.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Mapping
 from typing import NamedTuple
-from urllib.parse import unquote
 
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.model import ServiceName, WorkspaceName
+from banyanshelf_core.request_target import (
+    has_dot_segments,
+    host_name,
+    normalize_path,
+)
 from banyanshelf_core.text import EntryRoute, OperatorText, Route, Service
 
 # RFC 9110, section 9.2.2.
@@ -17,8 +20,6 @@
 # The fractional parts of its multiples cover [0, 1) evenly for any count of them.
 GOLDEN_RATIO_CONJUGATE = 0.6180339887498949
 
-_REPEATED_SLASHES = re.compile("//+")
-
 
 class RouteDecision(NamedTuple):
     """The rules that apply to one request.
@@ -104,8 +105,12 @@
     Entry routes take precedence over the hosts and prefixes of services. A service that
     names the host takes precedence over one for any host; then the longest path prefix
     wins. Prefixes match whole path segments: ``/pay`` matches ``/pay/1`` but not
-    ``/payments``. Percent-encoding and repeated slashes do not change the match, so
-    that a rule cannot be bypassed by writing a path differently.
+    ``/payments``.
+
+    Entry routes compare paths as they were sent, so that ``/orders%2Fpaid`` does not
+    match ``/orders/paid/``. For the prefixes of services, percent-encoding and repeated
+    slashes do not change the match, in the request or in the text, so that a rule
+    cannot be bypassed by writing a path differently.
     """
 
     def __init__(
@@ -134,9 +139,9 @@
                 reverse=True,
             )
             for host in service.hosts or ["*"]:
-                candidates_by_host.setdefault(host.lower(), []).extend(
+                candidates_by_host.setdefault(host_name(host), []).extend(
                     _Candidate(
-                        prefix,
+                        normalize_path(prefix),
                         name,
                         service,
                         rules,
@@ -164,17 +169,20 @@
         path with dot segments or backslashes, which two servers may resolve
         differently.
         """
-        path = normalize_path(path)
-        name = _host_name(host)
+        normalized = normalize_path(path)
+        _check_resolved(normalized)
+        name = host_name(host)
         entry = _first_entry(self._entries_by_host, name, path)
         if entry is not None:
             return self._entry_decision(entry, method)
         named = self._candidates_by_host.get(name, ())
-        candidate = _first_match(named, path) or _first_match(self._any_host, path)
+        candidate = _first_match(named, normalized) or _first_match(
+            self._any_host, normalized
+        )
         if candidate is None:
             raise RequestError(404, f"no service is configured for {host}{path}")
         service = candidate.service
-        rule = _first_rule(candidate.rules, path, method)
+        rule = _first_rule(candidate.rules, normalized, method)
         idempotent = method in IDEMPOTENT_METHODS
         if rule is None:
             require_key, timeout_s = False, service.timeout_ms / 1000
@@ -211,7 +219,7 @@
             (route.target_ms or route.timeout_ms) / 1000,
             route.priority,
             route.max_attempts,
-            route.host.lower(),
+            host_name(route.host),
         )
 
 
@@ -220,7 +228,7 @@
     for route in text.routes:
         split = _WeightedSplit(route, offset) if route.split else None
         entry = _Entry(route, route.path_prefix, split)
-        entries_by_host.setdefault(route.host.lower(), []).append(entry)
+        entries_by_host.setdefault(host_name(route.host), []).append(entry)
     for entries in entries_by_host.values():
         entries.sort(key=lambda each: len(each.path_prefix), reverse=True)
     return entries_by_host
@@ -236,26 +244,17 @@
     return None
 
 
-def normalize_path(path: str) -> str:
-    """Decode a path for matching.
-
-    Raises :class:`RequestError` for dot segments and backslashes.
-    """
-    if "%" in path:
-        path = unquote(path, errors="replace")
-    if "//" in path:
-        path = _REPEATED_SLASHES.sub("/", path)
-    if "/." in path and not {".", ".."}.isdisjoint(path.split("/")):
+def _check_resolved(normalized: str) -> None:
+    if has_dot_segments(normalized):
         raise RequestError(400, "the path has dot segments; send the resolved path")
-    if "\\" in path:
+    if "\\" in normalized:
         raise RequestError(400, "the path has a backslash; use / between segments")
-    return path
 
 
 def _rule(route: Route, service: Service) -> _Rule:
     timeout_ms = service.timeout_ms if route.timeout_ms is None else route.timeout_ms
     return _Rule(
-        route.path_prefix,
+        normalize_path(route.path_prefix),
         frozenset(method.upper() for method in route.methods),
         route.idempotent,
         route.require_key,
@@ -263,14 +262,6 @@
     )
 
 
-def _host_name(host: str) -> str:
-    host = host.lower()
-    if ":" not in host:
-        return host
-    name, _, port = host.rpartition(":")
-    return name if port.isdigit() else host
-
-
 def _matches_prefix(prefix: str, path: str) -> bool:
     if not path.startswith(prefix):
         return False
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -23,6 +23,11 @@
 import msgspec
 
 from banyanshelf_core.errors import TextError
+from banyanshelf_core.request_target import (
+    has_dot_segments,
+    host_name,
+    normalize_path,
+)
 
 PolicyName = Literal["permits", "random", "two_choices", "reports", "shared_load"]
 
@@ -282,6 +287,14 @@
                 f"path prefix {prefix!r} has no leading slash",
                 "start it with /",
             )
+        normalized = normalize_path(prefix)
+        if has_dot_segments(normalized) or "\\" in normalized:
+            raise TextError(
+                f"{where}",
+                f"path prefix {prefix!r} matches no request, as paths with dot "
+                "segments or backslashes are refused",
+                "write the resolved path",
+            )
 
 
 def _check_no_shared_match(services: dict[str, Service]) -> None:
@@ -289,7 +302,8 @@
     for name, service in services.items():
         matches = product(service.hosts or ["*"], service.path_prefixes)
         for host, prefix in matches:
-            owner = owner_by_match.setdefault((host, prefix), name)
+            match = (host_name(host), normalize_path(prefix))
+            owner = owner_by_match.setdefault(match, name)
             if owner != name:
                 raise TextError(
                     f"services.{name}",
@@ -302,13 +316,14 @@
     seen: set[tuple[str, str]] = set()
     for index, route in enumerate(text.routes):
         where = f"routes.{index}"
-        if (route.host, route.path_prefix) in seen:
+        match = (host_name(route.host), route.path_prefix)
+        if match in seen:
             raise TextError(
                 where,
                 f"{route.host}{route.path_prefix} has two routes",
                 "remove one of them",
             )
-        seen.add((route.host, route.path_prefix))
+        seen.add(match)
         if bool(route.service) == bool(route.split):
             raise TextError(
                 where,
