Count a call's attempts at the moment of sending

Cause: permits for a retry and for a hedged attempt can be pending together. Each was asked for within the limit of attempts, and each was sent when it came, so that a call ran on one upstream more than its route allows, or twice on the same one. A hedged attempt that failed while a retry was pending ended the call, and a retry that was not sent stayed charged to the retry budget.

Change: before an attempt is sent, retry and hedge alike, the call compares the number of attempts sent with its limit, and the upstream with those used. A call waits for pending permits as long as it has attempts left. Charges of retries that are not sent are refunded.

--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -30,6 +30,10 @@
       | run of a call whose crashes were noticed while it waited | 3 | hold_permits >> GET /a >> others_mark GET >> grant | answer 503 not_run; sent 0; released cancelled |
       | hedge of a call whose crashes were noticed meanwhile | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> grant >> expect sent 1 >> 200 ok | answer 200 ok; decisions hedge=0 |
       | call left without an end by a refused hedge      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> cut >> grant | answer 503 unknown; sent 1 |
+      | third upstream for two attempts, hedge first     | 3 | text max_attempts = 2 >> warm >> GET /a >> hold_permits >> wait 0.02 >> cut >> grant >> expect sent 2 >> 200 ok | answer 200 ok; decisions hedge=1; released_last 3 cut cancelled answered |
+      | third upstream for two attempts, retry first     | 3 | text max_attempts = 2 >> warm >> GET /a >> hold_permits >> wait 0.02 >> cut >> grant_one -1 >> expect sent 2 >> grant >> expect sent 2 >> 200 ok | answer 200 ok; decisions hedge=0; released_last 3 cut cancelled answered |
+      | call whose retry waits when its hedge fails      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> 500 bad >> grant_one 0 >> 500 bad >> expect nothing >> grant >> 200 ok | answer 200 ok; sent 3 |
+      | second run at one upstream                       | 2 | warm >> GET /a >> hold_permits >> wait 0.02 >> 500 bad >> grant >> expect sent 2 >> 200 ok | answer 200 ok; sent 2 |
       | run at an upstream in a pause                    | 2 | POST /a x >> not_run Retry-After: 0.25\r\n >> 200 ok >> POST /a y >> expect sent 3 >> 200 ok >> wait 0.3 >> POST /a z >> 200 ok | sent 4; released shed answered cancelled answered answered |
       | wait of a caller while all upstreams are in a pause | 1 | POST /a x >> not_run Retry-After: 3\r\n >> POST /a y | answer 503 not_run; sent 1 |
       | probe of an upstream in a pause                  | 1 | POST /a x >> not_run Retry-After: 3\r\n >> probe_paused | sent 1 |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -303,6 +303,7 @@
     ),
     "hold_permits": lambda c: setattr(c.path.permits, "is_holding_back", True),
     "grant": lambda c: (c.path.permits.grant_held(), c.path.settle()),
+    "grant_one": lambda c, at: (c.path.permits.grant_one(int(at)), c.path.settle()),
     "hold_record": lambda c: setattr(c.path.claims, "record_waiter", Deferred()),
     "record": lambda c: c.path.claims.record_waiter.callback(None),
     "gone": lambda c: c.caller.cut(),
@@ -324,6 +325,12 @@
     return f"{status} {problem.get('outcome', 'no outcome')}"
 
 
+def show_released_last(context, expected):
+    """Check the results of the last attempts, whose number comes first."""
+    count, *results = expected.split()
+    return context.path.permits.released[-int(count) :] == results
+
+
 def show_header(context, expected):
     name, _, value = expected.partition("=")
     return split_answers(context.caller.value())[-1][1].get(name.lower(), "") == value
@@ -350,6 +357,7 @@
 
 WITH_ARGUMENT = {
     "received_most",
+    "released_last",
     "header",
     "decisions",
     "got",
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -104,6 +104,13 @@
         for service_name, request, waiter in held:
             self.acquire(service_name, request).chainDeferred(waiter)
 
+    def grant_one(self, at):
+        """Decide on one of the requests that were held back."""
+        service_name, request, waiter = self.held.pop(at)
+        self.is_holding_back = False
+        self.acquire(service_name, request).chainDeferred(waiter)
+        self.is_holding_back = True
+
     def release(self, permit, sample):
         self.released.append(str(sample.kind))
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/retry.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/retry.py
@@ -155,6 +155,6 @@
         """Return whether the budget covers a hedged attempt, and if so charge it."""
         return self._budget.try_retry(now)
 
-    def refund_hedge(self, now: float) -> None:
-        """Refund the charge for a hedged attempt that found no idle permit."""
+    def refund(self, now: float) -> None:
+        """Refund the charge for a retry or a hedged attempt that was not sent."""
         self._budget.refund(now)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -114,7 +114,7 @@
             )
         if self._retry(Failure.CUT if attempt.is_sent else Failure.NOT_SENT):
             return
-        if self._attempts or self._pending_hedge_permit is not None:
+        if self._is_in_progress():
             return
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
@@ -130,7 +130,12 @@
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
-        if self._wants_no_requests(permit):
+        if not self._has_attempts_left():
+            # A hedged attempt was sent meanwhile, and it is in progress.
+            self.release_unused(permit)
+            self._service_state.policy.refund(self.now())
+            return
+        if self._is_used(permit) or self._wants_no_requests(permit):
             self.release_unused(permit)
             self.admit()
             return
@@ -169,9 +174,7 @@
 
     def _not_admitted(self, failure: DeferredFailure) -> None:
         self._pending_permit = None
-        if self.is_over or failure.check(CancelledError):
-            return
-        if self._attempts or self._pending_hedge_permit is not None:
+        if self.is_over or failure.check(CancelledError) or self._is_in_progress():
             return
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
@@ -186,6 +189,8 @@
         )
 
     def _retry(self, failure: Failure) -> bool:
+        if self._pending_permit is not None:
+            return False
         if failure is Failure.CUT and self.services.crashes.is_suspect(
             self.fingerprint(), self.request_id, self._attempt_count
         ):
@@ -197,7 +202,7 @@
             now=self.now(),
             max_attempts=self.route.max_attempts,
         )
-        if not is_allowed or self._pending_permit is not None:
+        if not is_allowed:
             return False
         self.services.metrics.count(self._service_state.retry_metric)
         self.admit()
@@ -218,7 +223,27 @@
         is_retried = not_run or head.status in RETRIED_STATUSES
         if is_retried and self._retry(failure):
             return True
-        return bool(self._attempts or self._pending_hedge_permit is not None)
+        return self._is_in_progress()
+
+    def _has_attempts_left(self) -> bool:
+        """Whether one more attempt may be sent, be it a retry or a hedged attempt.
+
+        Permits for both can be pending at the same time, so this is asked at the moment
+        of sending.
+        """
+        limit = self.route.max_attempts or self.route.service.max_attempts
+        return self._attempt_count < limit
+
+    def _is_in_progress(self) -> bool:
+        """Whether an attempt runs, or another one may still be sent."""
+        if self._attempts:
+            return True
+        permits = (self._pending_permit, self._pending_hedge_permit)
+        return self._has_attempts_left() and permits != (None, None)
+
+    def _is_used(self, permit: Permit) -> bool:
+        """Whether an attempt that was sent meanwhile went to the same upstream."""
+        return permit.upstream.id in self._used_upstreams
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -242,8 +267,7 @@
 
     def _start_hedge(self) -> None:
         policy = self._service_state.policy
-        limit = self.route.max_attempts or self.route.service.max_attempts
-        if len(self._attempts) != 1 or self._attempt_count >= limit:
+        if len(self._attempts) != 1 or not self._has_attempts_left():
             return
         if not policy.may_hedge(self.now()):
             self._log_no_hedge("the retry budget is used up")
@@ -260,11 +284,15 @@
         reason = ""
         if self._left_quarantine_s() is not None:
             reason = "the request has crashed upstreams"
+        elif not self._has_attempts_left():
+            reason = "all attempts were made meanwhile"
+        elif self._is_used(permit):
+            reason = "a retry went to the same upstream"
         elif self._wants_no_requests(permit):
             reason = "the upstream wants no requests"
         if reason:
             self.release_unused(permit)
-            self._service_state.policy.refund_hedge(self.now())
+            self._service_state.policy.refund(self.now())
             self._log_no_hedge(reason)
             if not (self._attempts or self._pending_permit):
                 self.admit()
@@ -274,7 +302,7 @@
 
     def _hedge_not_admitted(self, failure: DeferredFailure) -> None:
         self._pending_hedge_permit = None
-        self._service_state.policy.refund_hedge(self.now())
+        self._service_state.policy.refund(self.now())
         if not failure.check(CancelledError):
             self._log_no_hedge(failure.getErrorMessage())
         if not (self.is_over or self._attempts or self._pending_permit):
