Bound the memory and connections of callers

Cause: A body was held up to four times (its parts, joined, serialized, in the transport), tiny chunks cost many times their bytes, nothing bounded the sum, and a few connections that send nothing shut the gateway to others. A refusal that left bytes unread could be lost, as the kernel resets such a connection.

Change: RequestMemory in the core grants memory to connections and requests, refuses what does not fit and displaces requests that have stopped arriving. RequestBody holds a body once, in blocks, and it is sent as the upstream reads. At the limit of connections, unused ones make room. Refusals half-close and read what is left, up to a bound. Limits are read for each request, so that a connection keeps none of an older configuration. Requests behind the current one are read up to 64 KiB, so that the end of the connection is seen. Exchange and CallerConnection have modules of their own.

--- a/features/e2e/untrusted_clients.feature
+++ b/features/e2e/untrusted_clients.feature
@@ -11,7 +11,6 @@
     Then an ordinary request is answered
     And the process lives, and has used at most 256 MB and 200 descriptors
 
-    @known_red
     Examples: held
       | clients | kind                                |
       | 96      | whole bodies                        |
--- a/features/platform/untrusted_clients.feature
+++ b/features/platform/untrusted_clients.feature
@@ -11,7 +11,6 @@
     Then an ordinary request is answered
     And the process lives, and has used at most 150 MB and 200 descriptors
 
-    @known_red
     Examples: held
       | clients | kind                                |
       | 48      | whole bodies                        |
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -213,7 +213,7 @@
 
 def on_others_mark(context, method):
     """Receive two crash marks for a request to /a from other members."""
-    fingerprint = request_fingerprint("desk", method, b"/a", b"", b"")
+    fingerprint = request_fingerprint("desk", method, b"/a", b"")
     subscriptions = context.path.collaborators.subscribe.call_args_list
     [handler] = [each.args[1] for each in subscriptions if each.args[0] is CrashMark]
     for number in range(2):
--- a/features/steps/crashing_fleet.py
+++ b/features/steps/crashing_fleet.py
@@ -18,6 +18,7 @@
 from banyanshelf_daemon.http_message import Request
 from banyanshelf_daemon.interfaces import ActiveText, NotAdmittedError, Permit
 from banyanshelf_daemon.metrics import Metrics
+from banyanshelf_daemon.request_body import RequestBody
 from banyanshelf_daemon.settings import Settings
 from banyanshelf_platform.gateway import POOL_RULES
 from banyanshelf_platform.platform_dialect import PlatformDialect
@@ -296,7 +297,9 @@
             b"x-banyanshelf-deadline-milliseconds": b"%d" % DEADLINE_MS,
         }
         listed = [(key, key.title(), value) for key, value in headers.items()]
-        request = Request("GET", target, path, HOST, listed, headers, b"", True, False)
+        request = Request(
+            "GET", target, path, HOST, listed, headers, RequestBody(), True, False
+        )
         self.handlers[name].start(
             request, _Exchange(statuses), trust_internal_headers=False
         )
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -63,6 +63,13 @@
     def loseConnection(self):  # noqa: N802
         self.reactor.callLater(0, self.cut, ConnectionDone())
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.cut(reason.value)
+
+    def loseWriteConnection(self):  # noqa: N802
+        # The other end closes once it has read everything.
+        self.loseConnection()
+
     def abortConnection(self):  # noqa: N802
         self.was_aborted = True
         self.reactor.callLater(0, self.cut, ConnectionAborted())
--- a/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
@@ -34,17 +34,25 @@
 
 
 def request_fingerprint(
-    scope: str, method: str, target: bytes, content_type: bytes, body: bytes
+    scope: str,
+    method: str,
+    target: bytes,
+    content_type: bytes,
+    body_blocks: Iterable[bytes] = (),
+    body_bytes: int = 0,
 ) -> str:
     """Return a digest that is equal for equal requests, whoever sends them.
 
     ``scope`` tells requests to different hosts or services apart.
     """
     content = sha256()
-    for part in (scope.encode(), method.encode(), target, content_type, body):
-        # Without the length prefix, different requests could give the same bytes.
+    # Without the length prefixes, different requests could give the same bytes.
+    for part in (scope.encode(), method.encode(), target, content_type):
         content.update(b"%d:" % len(part))
         content.update(part)
+    content.update(b"%d:" % body_bytes)
+    for block in body_blocks:
+        content.update(block)
     return content.hexdigest()
 
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/errors.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/errors.py
@@ -32,6 +32,10 @@
         self.detail = detail
 
 
+class RequestMemoryError(BanyanshelfError):
+    """The memory for requests is used up, so that a request has to be refused."""
+
+
 class StoreError(BanyanshelfError):
     """Base class of failures of the configuration store."""
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
@@ -12,6 +12,7 @@
 from banyanshelf_core.model import AnswerKind
 from banyanshelf_daemon.http_message import Answer, AnswerHead, AnswerRules
 from banyanshelf_daemon.interfaces import Permit, PermitService
+from banyanshelf_daemon.request_body import RequestBody
 from banyanshelf_daemon.upstream_client import UpstreamConnection
 from banyanshelf_daemon.upstream_pool import UpstreamPool
 
@@ -84,14 +85,15 @@
         *,
         is_head: bool,
         rules: AnswerRules,
+        body: RequestBody,
     ) -> None:
-        """Send the serialized request once a connection is available."""
+        """Send the serialized head and the body once a connection is available."""
         connection = self._pool.take_idle_connection()
         if connection is not None:
-            self._send(connection, data, is_head, rules)
+            self._send(connection, data, is_head, rules, body)
             return
         self._waiter = self._pool.wait_for_connection()
-        self._waiter.addCallback(self._send, data, is_head, rules)
+        self._waiter.addCallback(self._send, data, is_head, rules, body)
         self._waiter.addErrback(self._connection_refused)
 
     def cancel(self, kind: AnswerKind = AnswerKind.CANCELLED) -> None:
@@ -178,11 +180,12 @@
         data: bytes,
         is_head: bool,
         rules: AnswerRules,
+        body: RequestBody,
     ) -> None:
         self._waiter = None
         self._connection = connection
         self.is_sent = True
-        connection.send(data, self, is_head=is_head, rules=rules)
+        connection.send(data, self, is_head=is_head, rules=rules, body=body)
 
     def _connection_refused(self, failure: Failure) -> None:
         if self.is_over:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -13,10 +13,10 @@
 from banyanshelf_core.matching import RequestMatcher, RouteDecision
 from banyanshelf_core.model import Outcome, Upstream
 from banyanshelf_daemon.call_services import CallServices
-from banyanshelf_daemon.caller_server import Exchange
 from banyanshelf_daemon.claimed_call import ClaimedCall
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, Refusal
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import AnswerHead, Request
 from banyanshelf_daemon.interfaces import (
     ActiveText,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -13,8 +13,8 @@
 from banyanshelf_core.model import AnswerKind, UpstreamId
 from banyanshelf_daemon.attempt import Attempt
 from banyanshelf_daemon.call_services import CallServices
-from banyanshelf_daemon.caller_server import Exchange
 from banyanshelf_daemon.dialect import CallContext, OutgoingCall
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import (
     Answer,
     AnswerHead,
@@ -128,7 +128,7 @@
         )
 
     def serialized_request(self, upstream_id: UpstreamId) -> bytes:
-        """Return the bytes of the request for an upstream."""
+        """Return the head of the request for an upstream."""
         remaining_s = self.deadline - self.now() - DEADLINE_MARGIN_S
         dialect = self.services.dialect
         call = OutgoingCall(
@@ -158,7 +158,8 @@
                 request.method,
                 request.target,
                 request.value_by_name.get(b"content-type", b""),
-                request.body,
+                request.body.blocks(),
+                len(request.body),
             )
         return self._fingerprint
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/claimed_call.py
@@ -12,6 +12,7 @@
 from banyanshelf_daemon.http_message import Answer, header
 from banyanshelf_daemon.interfaces import ClaimDecision
 from banyanshelf_daemon.problem import problem_answer
+from banyanshelf_daemon.request_body import RequestBody
 from banyanshelf_daemon.running_call import RunningCall
 
 RETRY_AFTER_S = 1.0
@@ -42,7 +43,9 @@
             self.route.service_name,
             self._key_digest(),
             _digest(
-                self.request.method.encode(), self.request.target, self.request.body
+                self.request.method.encode(),
+                self.request.target,
+                body=self.request.body,
             ),
             self.deadline - self.started,
         )
@@ -226,10 +229,14 @@
         self.exchange.finish()
 
 
-def _digest(*parts: bytes) -> str:
+def _digest(*parts: bytes, body: RequestBody | None = None) -> str:
     content = sha256()
     for part in parts:
         # The length prefix keeps different parts from being joined to the same bytes.
         content.update(b"%d:" % len(part))
         content.update(part)
+    if body is not None:
+        content.update(b"%d:" % len(body))
+        for block in body.blocks():
+            content.update(block)
     return content.hexdigest()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -13,6 +13,7 @@
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RequestMatcher
 from banyanshelf_core.model import Member, Upstream, UpstreamState
+from banyanshelf_core.request_memory import RequestMemory
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -92,8 +93,16 @@
             self.log,
             self.metrics,
         )
-        self._caller_factory = CallerServerFactory(self.handler, settings, False)
-        self._service_factory = CallerServerFactory(self.handler, settings, True)
+        memory = RequestMemory(settings.request_memory_bytes)
+        self.metrics.gauge("request_memory.bytes", lambda: memory.held_bytes)
+        self.metrics.gauge("request_memory.refused", lambda: memory.refused_count)
+        self.metrics.gauge("request_memory.displaced", lambda: memory.displaced_count)
+        self._caller_factory = CallerServerFactory(
+            self.handler, settings, False, memory
+        )
+        self._service_factory = CallerServerFactory(
+            self.handler, settings, True, memory
+        )
         self._ports: list[Any] = []
         self._caller_listeners: list[CallerListener] = []
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/http_message.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+from banyanshelf_daemon.request_body import RequestBody
+
 # (lower-case name, name as received, value).
 Header = tuple[bytes, bytes, bytes]
 
@@ -39,6 +41,7 @@
 
     ``target`` is in origin form, ``path`` is the target without the query, and
     ``value_by_name`` joins repeated headers with a comma, as RFC 9110 allows.
+    ``held_bytes`` is the memory that the request takes.
     """
 
     method: str
@@ -47,9 +50,10 @@
     host: str
     headers: list[Header]
     value_by_name: dict[bytes, bytes]
-    body: bytes
+    body: RequestBody
     keep_alive: bool
     is_http_1_0: bool
+    held_bytes: int = 0
 
 
 class AnswerHead(NamedTuple):
@@ -140,7 +144,7 @@
     dropped: frozenset[bytes],
     dropped_prefix: bytes,
 ) -> bytes:
-    """Serialize a request for an upstream.
+    """Serialize the head of a request for an upstream.
 
     ``internal_headers`` are complete header lines of this gateway. Headers that are
     ``dropped`` or begin with ``dropped_prefix`` are never passed on; an empty prefix
@@ -159,7 +163,7 @@
         lines.append(b"%b: %b\r\n" % (name, value))
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
-    lines += (internal_headers, b"\r\n", request.body)
+    lines += (internal_headers, b"\r\n")
     return b"".join(lines)
 
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
@@ -9,16 +9,23 @@
 
 import re
 from collections import deque
-from typing import NoReturn
+from collections.abc import Callable
+from typing import NamedTuple, NoReturn
 from urllib.parse import urlsplit
 
 import httptools
 
 from banyanshelf_core.errors import RequestError
 from banyanshelf_daemon.http_message import Header, Request
+from banyanshelf_daemon.request_body import RequestBody
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
+# Memory of a request beside its body: its objects, those of each header, and the bytes
+# of the head, which are kept as received, in lower case and by name.
+REQUEST_OVERHEAD_BYTES = 2048
+HEADER_OVERHEAD_BYTES = 400
+HEAD_COPIES = 3
 
 _TARGET = re.compile(rb"/[\x21\x24-\x7e]*")
 # RFC 3986 host with an optional port; user information is not allowed.
@@ -28,21 +35,30 @@
 )
 
 
+class CallerLimits(NamedTuple):
+    """Limits on the size of requests, and on the time to send one or to be idle."""
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = 1024 * 1024
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
 class RequestReader:
     """Parses a byte stream into requests.
 
     ``received`` is the queue of complete requests. ``error`` is set once the stream
-    cannot be parsed further; it follows the requests in ``received``.
+    cannot be parsed further; it follows the requests in ``received``. ``read_limits``
+    is called for each request, as the limits may change while a connection is open.
     """
 
-    def __init__(
-        self, max_body_bytes: int, max_head_bytes: int = MAX_HEAD_BYTES
-    ) -> None:
-        self._max_head_bytes = max_head_bytes
+    def __init__(self, read_limits: Callable[[], CallerLimits]) -> None:
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self.received: deque[Request] = deque()
         self.error: RequestError | None = None
         self._target: bytes
-        self._max_body_bytes = max_body_bytes
+        self._queued_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._in_head = False
         self._in_body = False
@@ -61,6 +77,26 @@
         """Whether the head of a request has been received in part."""
         return self._in_head
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of the queued requests and of the one received in part."""
+        if self.is_idle:
+            return self._queued_bytes
+        return self._queued_bytes + self._request_bytes() + self._unparsed_bytes
+
+    def take(self) -> Request:
+        """Remove the first complete request from the queue."""
+        request = self.received.popleft()
+        self._queued_bytes -= request.held_bytes
+        return request
+
+    def discard(self) -> None:
+        """Drop all requests, as the connection is being closed."""
+        self.received.clear()
+        self._queued_bytes = self._unparsed_bytes = 0
+        self._in_head = self._in_body = self.expects_continue = False
+        self._reset()
+
     def feed(self, data: bytes) -> None:
         """Parse more bytes; results are in ``received`` and ``error``."""
         if self.error is not None:
@@ -80,13 +116,15 @@
         if is_unfinished and progress == (self._begun_count, self._body_bytes):
             # httptools buffers an unfinished header or trailer without a limit.
             self._unparsed_bytes += len(data)
-            if self._unparsed_bytes > self._max_head_bytes:
-                self._refuse(431, f"headers exceed {self._max_head_bytes} bytes")
+            limit = self._limits.head_bytes
+            if self._unparsed_bytes > limit:
+                self._refuse(431, f"headers exceed {limit} bytes")
         else:
             self._unparsed_bytes = 0
 
     def on_message_begin(self) -> None:
         """Start a request (called by httptools)."""
+        self._limits = self._read_limits()
         self._reset()
         self._begun_count += 1
         self._in_head = True
@@ -134,8 +172,7 @@
         """Add a part of the body (called by httptools)."""
         self._body_bytes += len(data)
         self.expects_continue = False
-        if self._body_bytes > self._max_body_bytes:
-            self._abort(413, f"the body exceeds {self._max_body_bytes} bytes")
+        self._check_body_size(self._body_bytes)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -148,6 +185,8 @@
             self._abort(400, "protocol upgrades are not supported")
         method = self._parser.get_method().decode("ascii")
         target = self._target
+        held_bytes = self._request_bytes()
+        self._queued_bytes += held_bytes
         self.received.append(
             Request(
                 method,
@@ -156,11 +195,27 @@
                 self._value_by_name.get(b"host", b"").decode("ascii"),
                 self._headers,
                 self._value_by_name,
-                b"".join(self._body),
+                self._body,
                 self._parser.should_keep_alive() and not self._is_http_1_0,
                 self._is_http_1_0,
+                held_bytes,
             )
         )
+        # The queue holds the request now; nothing else keeps its body.
+        self._reset()
+
+    def _request_bytes(self) -> int:
+        return (
+            REQUEST_OVERHEAD_BYTES
+            + HEAD_COPIES * self._head_bytes
+            + HEADER_OVERHEAD_BYTES * self._header_count
+            + self._body_bytes
+        )
+
+    def _check_body_size(self, size: int) -> None:
+        limit = self._limits.body_bytes
+        if size > limit:
+            self._abort(413, f"the body exceeds {limit} bytes")
 
     def _check_framing(self) -> None:
         coding = self._value_by_name.get(b"transfer-encoding")
@@ -171,8 +226,7 @@
             return
         if not length.isdigit() or coding is not None:
             self._abort(400, "bad Content-Length")
-        if int(length) > self._max_body_bytes:
-            self._abort(413, f"the body exceeds {self._max_body_bytes} bytes")
+        self._check_body_size(int(length))
 
     def _check_target(self) -> None:
         host = self._value_by_name.get(b"host")
@@ -200,8 +254,9 @@
 
     def _count_head_bytes(self, count: int) -> None:
         self._head_bytes += count
-        if self._head_bytes > self._max_head_bytes:
-            self._abort(431, f"the head exceeds {self._max_head_bytes} bytes")
+        limit = self._limits.head_bytes
+        if self._head_bytes > limit:
+            self._abort(431, f"the head exceeds {limit} bytes")
 
     def _refuse(self, status: int, detail: str) -> None:
         if self.error is None:
@@ -217,7 +272,7 @@
         self._target = b""
         self._headers: list[Header] = []
         self._value_by_name: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = RequestBody()
         self._body_bytes = 0
         self._head_bytes = 0
         self._header_count = 0
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -253,6 +253,7 @@
             self.serialized_request(upstream.id),
             is_head=self.request.method == "HEAD",
             rules=services.dialect.answer_rules(self.request, self.request_id),
+            body=self.request.body,
         )
 
     def _not_admitted(self, failure: DeferredFailure) -> None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/settings.py
@@ -103,6 +103,8 @@
     health_notice_s: float = 1.0
     max_connections: PositiveInt = 2000
     max_body_bytes: PositiveInt = 1024 * 1024
+    # Memory of all requests that are received, queued or in progress, in bytes.
+    request_memory_bytes: PositiveInt = 128 * 1024 * 1024
     seed: int = 0
 
     @classmethod
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -21,6 +21,7 @@
     header_value,
     keep_alive_timeout_s,
 )
+from banyanshelf_daemon.request_body import BLOCK_BYTES, BodySender, RequestBody
 
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
 # Trailers, chunk sizes and their extensions, without any byte of the body between them.
@@ -91,8 +92,9 @@
         *,
         is_head: bool,
         rules: AnswerRules | None = None,
+        body: RequestBody | None = None,
     ) -> None:
-        """Send a serialized request; with ``is_head``, its answer has no body."""
+        """Send a serialized head and a body; with ``is_head``, the answer has none."""
         self._receiver = receiver
         self._rules = rules
         self._is_for_other_request = False
@@ -110,7 +112,13 @@
         self._has_surplus_bytes = False
         self._is_interim = False
         self._received_bytes = 0
+        self._sender: BodySender | None = None
+        if body is None or len(body) <= BLOCK_BYTES:
+            self.transport.write(data + body.to_bytes() if body else data)
+            return
         self.transport.write(data)
+        self._sender = BodySender(self.transport, body)
+        self._sender.start()
 
     def cancel(self) -> None:
         """Cancel the current answer; the connection is closed."""
@@ -298,7 +306,9 @@
         self._receiver = None
         self.answer_count += 1
         reusable = self._keeps_alive and not (
-            self._has_surplus_bytes or self._has_unnamed_refusal()
+            self._has_surplus_bytes
+            or self._has_unnamed_refusal()
+            or (self._sender is not None and not self._sender.is_done)
         )
         if self._has_surplus_bytes:
             self._owner.surplus_received()
