--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -42,13 +42,17 @@
 
 
 def workspaces_text(words):
-    """Return the lines that give keys to workspaces, as in ``one=k-1,k-2 two=``."""
+    """Return the lines that give keys to workspaces.
+
+    Example: ``one=k-1,k-2 two= three=k-3@1``, with priority 1 for the last one.
+    """
     lines = ["[workspaces]"]
     for word in words.split():
-        name, _, keys = word.partition("=")
-        lines.append(
-            f"{name} = {{ keys = {[each for each in keys.split(',') if each]} }}"
-        )
+        name, _, rest = word.partition("=")
+        keys, _, priority = rest.partition("@")
+        listed = [each for each in keys.split(",") if each]
+        rank = f", priority = {priority}" if priority else ""
+        lines.append(f"{name} = {{ keys = {listed}{rank} }}")
     return "\n".join(lines)
 
 
@@ -74,6 +78,13 @@
     def loseConnection(self):  # noqa: N802
         self.reactor.callLater(0, self.cut, ConnectionDone())
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.cut(reason.value)
+
+    def loseWriteConnection(self):  # noqa: N802
+        # The other end closes once it has read everything.
+        self.loseConnection()
+
     def abortConnection(self):  # noqa: N802
         self.was_aborted = True
         self.reactor.callLater(0, self.cut, ConnectionAborted())
@@ -115,6 +126,13 @@
         for service_name, request, waiter in held:
             self.acquire(service_name, request).chainDeferred(waiter)
 
+    def grant_one(self, at):
+        """Decide on one of the requests that were held back."""
+        service_name, request, waiter = self.held.pop(at)
+        self.is_holding_back = False
+        self.acquire(service_name, request).chainDeferred(waiter)
+        self.is_holding_back = True
+
     def release(self, permit, sample):
         self.released.append(str(sample.kind))
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -184,8 +184,9 @@
 class LimitQuery(msgspec.Struct, array_like=True, tag=9, frozen=True):
     """Asks the keeper of an upstream's limit for one request.
 
-    ``limit`` is what the sender knows. A gateway that is not the keeper forwards the
-    query once; the answer goes to ``reply_to``.
+    ``limit`` is what the sender knows; with ``is_cold``, it is that of a cold upstream.
+    A gateway that is not the keeper forwards the query once; the answer goes to
+    ``reply_to``.
     """
 
     reply_to: str
@@ -194,6 +195,7 @@
     limit: LimitRow
     is_probe: bool
     is_forwarded: bool = False
+    is_cold: bool = False
 
 
 class LimitReply(msgspec.Struct, array_like=True, tag=10, frozen=True):
@@ -234,8 +236,8 @@
 class UpstreamStatement(msgspec.Struct, array_like=True, tag=13, frozen=True):
     """What an upstream has said of itself in an answer to the sender.
 
-    It concerns one incarnation: that the upstream is leaving, or that it wants no
-    requests for ``pause_s``.
+    It concerns one incarnation: that the upstream is leaving, that it wants no requests
+    for ``pause_s``, or that it is cold for ``cold_s``.
     """
 
     sender: MemberId
@@ -244,6 +246,59 @@
     incarnation: int
     is_leaving: bool
     pause_s: Seconds = 0.0
+    cold_s: Seconds = 0.0
+
+
+class WaitingNotice(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """Says that the aggregator has queued calls of the receiver, and still has them.
+
+    It is repeated while they wait; a gateway that hears nothing more of a call places
+    it itself.
+    """
+
+    sender: MemberId
+    numbers: list[int]
+
+
+class PlacementWithdrawal(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Says that the sender needs no placement of this call any more."""
+
+    sender: MemberId
+    number: int
+
+
+Counts = dict[WorkspaceName, Count]
+
+
+class QuotaDraw(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """Asks the bank of a zone for requests of workspaces' quotas.
+
+    ``wanted`` and ``returned`` are counts by workspace; the latter were granted earlier
+    and were not used. A gateway that is not the bank forwards the draw once; the answer
+    goes to ``reply_to``. A ``number`` of 0 needs no answer.
+    """
+
+    reply_to: str
+    zone: str
+    number: Count
+    wanted: Counts
+    returned: Counts = {}
+    is_forwarded: bool = False
+
+
+class QuotaGrant(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """Answers :class:`QuotaDraw`.
+
+    ``granted`` may be used for ``valid_s`` from the time of the draw. ``waits`` holds
+    when callers of the other workspaces should return, in seconds. ``zone`` is that of
+    the bank; it is empty if the gateway that was asked knows no bank.
+    """
+
+    number: int
+    zone: str
+    granted: Counts
+    waits: dict[WorkspaceName, Seconds] = {}
+    valid_s: Seconds = 0.0
 
 
 class RoomQuery(msgspec.Struct, array_like=True, tag=24, frozen=True):
@@ -287,4 +342,8 @@
     | UpstreamStatement
     | RoomQuery
     | RoomOffer
+    | WaitingNotice
+    | PlacementWithdrawal
+    | QuotaDraw
+    | QuotaGrant
 )
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/decisions.py
@@ -48,7 +48,8 @@
 
     ``expected_s`` is the expected time until the response. ``report_age_s`` is the age
     of the last load report, infinite before the first one. ``request_limit`` is the
-    limit that the upstream states, in requests per second.
+    limit that the upstream states, in requests per second. ``is_lent`` is true for
+    room that another zone has lent, whose load is known from the lender.
     """
 
     upstream: Upstream
@@ -60,6 +61,7 @@
     report_age_s: float = 0.0
     is_same_zone: bool = True
     request_limit: float | None = None
+    is_lent: bool = False
 
 
 class Refused(NamedTuple):
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -23,6 +23,11 @@
 import msgspec
 
 from banyanshelf_core.errors import TextError
+from banyanshelf_core.request_target import (
+    has_dot_segments,
+    host_name,
+    normalize_path,
+)
 from banyanshelf_core.workspace_text import check_workspaces
 
 PolicyName = Literal["permits", "random", "two_choices", "reports", "shared_load"]
@@ -52,7 +57,8 @@
     ``caller_weights`` are the weights of calling services in sharing this service;
     other callers have a weight of 1. A cold upstream takes at most
     ``cold_requests_per_s`` from all gateways together, for ``cold_s`` after its start;
-    0 means that there is no such limit.
+    0 means that there is no such limit. With ``wait_for_room``, calls wait for a free
+    slot as long as they can be answered in time; under the policy ``shared_load`` only.
     """
 
     hosts: list[str] = []
@@ -72,6 +78,7 @@
     probe_path: str = ""
     cold_s: float = 0.0
     cold_requests_per_s: float = 0.0
+    wait_for_room: bool = False
     routes: list[Route] = []
 
 
@@ -175,7 +182,7 @@
     """The whole operators' text.
 
     Without ``workspaces``, requests need no key. An empty table admits those of
-    anonymous routes only.
+    anonymous routes only. Upstreams of ``evacuated_zones`` get no requests.
     """
 
     policy: PolicyName = "permits"
@@ -185,6 +192,7 @@
     services: dict[str, Service]
     routes: list[EntryRoute] = []
     workspaces: dict[str, Workspace] | None = None
+    evacuated_zones: list[str] = []
 
 
 def parse_text(content: str) -> OperatorText:
@@ -287,6 +295,14 @@
                 f"path prefix {prefix!r} has no leading slash",
                 "start it with /",
             )
+        normalized = normalize_path(prefix)
+        if has_dot_segments(normalized) or "\\" in normalized:
+            raise TextError(
+                f"{where}",
+                f"path prefix {prefix!r} matches no request, as paths with dot "
+                "segments or backslashes are refused",
+                "write the resolved path",
+            )
 
 
 def _check_no_shared_match(services: dict[str, Service]) -> None:
@@ -294,7 +310,8 @@
     for name, service in services.items():
         matches = product(service.hosts or ["*"], service.path_prefixes)
         for host, prefix in matches:
-            owner = owner_by_match.setdefault((host, prefix), name)
+            match = (host_name(host), normalize_path(prefix))
+            owner = owner_by_match.setdefault(match, name)
             if owner != name:
                 raise TextError(
                     f"services.{name}",
@@ -307,13 +324,14 @@
     seen: set[tuple[str, str]] = set()
     for index, route in enumerate(text.routes):
         where = f"routes.{index}"
-        if (route.host, route.path_prefix) in seen:
+        match = (host_name(route.host), route.path_prefix)
+        if match in seen:
             raise TextError(
                 where,
                 f"{route.host}{route.path_prefix} has two routes",
                 "remove one of them",
             )
-        seen.add((route.host, route.path_prefix))
+        seen.add(match)
         if bool(route.service) == bool(route.split):
             raise TextError(
                 where,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -13,10 +13,10 @@
 from banyanshelf_core.matching import RequestMatcher, RouteDecision
 from banyanshelf_core.model import Outcome, Upstream
 from banyanshelf_daemon.call_services import CallServices
-from banyanshelf_daemon.caller_server import Exchange
 from banyanshelf_daemon.claimed_call import ClaimedCall
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, Refusal
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import AnswerHead, Request
 from banyanshelf_daemon.interfaces import (
     ActiveText,
@@ -108,10 +108,10 @@
             context = self.services.dialect.context(
                 request, is_trusted=trust_internal_headers
             )
-            route = self._matcher_for(active).match(
+            matched = self._matcher_for(active).match(
                 request.host, request.path, request.method, request.value_by_name
             )
-            route = self.services.with_workspace(active, route, request, context)
+            route = self.services.with_workspace(active, matched, request, context)
             if not route.idempotent:
                 _check_key(request, route)
         except RequestError as error:
@@ -120,7 +120,14 @@
             return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
-            self.services, request, exchange, route, active, context, request_id
+            self.services,
+            request,
+            exchange,
+            route,
+            active,
+            context,
+            request_id,
+            matched,
         )
         exchange.call = call
         if call.deadline > self.services.stops_at:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -14,8 +14,8 @@
 from banyanshelf_core.model import AnswerKind, UpstreamId
 from banyanshelf_daemon.attempt import Attempt
 from banyanshelf_daemon.call_services import CallServices
-from banyanshelf_daemon.caller_server import Exchange
 from banyanshelf_daemon.dialect import CallContext, OutgoingCall
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import (
     Answer,
     AnswerHead,
@@ -38,6 +38,8 @@
 class CallState:
     """One call, with the configuration text that was active at its start.
 
+    ``route`` has the workspace of the request and its priority, ``matched`` is the same
+    route without them. ``workspace`` and ``priority`` follow later texts.
     ``_may_have_run`` is true once a byte of the request may have reached an application
     that has not stated that it did not run the request.
     """
@@ -51,6 +53,7 @@
         active: ActiveText,
         context: CallContext,
         request_id: str,
+        matched: RouteDecision,
     ) -> None:
         self.services = services
         self.request = request
@@ -66,6 +69,7 @@
         self.deadline = self.started + timeout_s
         self.target = self._target(context)
         self._context = context
+        self._matched = matched
         self.workspace = route.workspace
         self.priority = route.priority
         self._service_state = services.state_for(route.service_name, route.service)
@@ -73,6 +77,8 @@
         self._used_upstreams: frozenset[UpstreamId] = frozenset()
         self._attempts: list[Attempt] = []
         self._attempt_count = 0
+        # Whether the call has drawn on the quota of its workspace
+        self._is_counted = False
         self._pending_permit: Deferred[Permit] | None = None
         self._pending_hedge_permit: Deferred[Permit] | None = None
         self._fallback_answer: Answer | None = None
@@ -124,7 +130,7 @@
                 self.priority,
                 self.answer_expected_late if self.route.idempotent else None,
                 self.workspace,
-                not (self._attempt_count or self._context.depth),
+                not (self._is_counted or self._context.depth),
             ),
         )
 
@@ -136,7 +142,7 @@
         active = self.services.active() or self.active
         try:
             route = self.services.with_workspace(
-                active, self.route, self.request, self._context
+                active, self._matched, self.request, self._context
             )
         except RequestError as error:
             return error
@@ -144,7 +150,7 @@
         return None
 
     def serialized_request(self, upstream_id: UpstreamId) -> bytes:
-        """Return the bytes of the request for an upstream."""
+        """Return the head of the request for an upstream."""
         remaining_s = self.deadline - self.now() - DEADLINE_MARGIN_S
         dialect = self.services.dialect
         call = OutgoingCall(
@@ -175,7 +181,8 @@
                 request.method,
                 request.target,
                 request.value_by_name.get(b"content-type", b""),
-                request.body,
+                request.body.blocks(),
+                len(request.body),
             )
         return self._fingerprint
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -14,7 +14,11 @@
 from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
 from banyanshelf_daemon.call_results import DEFAULT_RETRY_AFTER_S, ResolvableCall
 from banyanshelf_daemon.http_message import Answer, AnswerHead, header_value
-from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    Permit,
+    QuotaExceededError,
+)
 from banyanshelf_daemon.problem import PROXY_NAME
 
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
@@ -114,7 +118,7 @@
             )
         if self._retry(Failure.CUT if attempt.is_sent else Failure.NOT_SENT):
             return
-        if self._attempts or self._pending_hedge_permit is not None:
+        if self._is_in_progress():
             return
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
@@ -126,13 +130,19 @@
 
     def _admitted(self, permit: Permit) -> None:
         self._pending_permit = None
+        self._is_counted = True
         # Crashes may have been noticed while the call waited.
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
         if self._has_lost_key(permit):
             return
-        if self._wants_no_requests(permit):
+        if not self._has_attempts_left():
+            # A hedged attempt was sent meanwhile, and it is in progress.
+            self.release_unused(permit)
+            self._service_state.policy.refund(self.now())
+            return
+        if self._is_used(permit) or self._wants_no_requests(permit):
             self.release_unused(permit)
             self.admit()
             return
@@ -167,17 +177,25 @@
             self.serialized_request(upstream.id),
             is_head=self.request.method == "HEAD",
             rules=services.dialect.answer_rules(self.request, self.request_id),
+            body=self.request.body,
         )
 
     def _not_admitted(self, failure: DeferredFailure) -> None:
         self._pending_permit = None
-        if self.is_over or failure.check(CancelledError):
-            return
-        if self._attempts or self._pending_hedge_permit is not None:
+        if self.is_over or failure.check(CancelledError) or self._is_in_progress():
             return
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
             return
+        if isinstance(failure.value, QuotaExceededError):
+            # Nothing was sent: only the first permit of a call draws on the quota.
+            self.finish_problem(
+                429,
+                str(failure.value),
+                "http_request_denied",
+                failure.value.retry_after_s,
+            )
+            return
         retry_after_s = DEFAULT_RETRY_AFTER_S
         if isinstance(failure.value, NotAdmittedError):
             retry_after_s = failure.value.retry_after_s
@@ -188,6 +206,8 @@
         )
 
     def _retry(self, failure: Failure) -> bool:
+        if self._pending_permit is not None:
+            return False
         if failure is Failure.CUT and self.services.crashes.is_suspect(
             self.fingerprint(), self.request_id, self._attempt_count
         ):
@@ -199,7 +219,7 @@
             now=self.now(),
             max_attempts=self.route.max_attempts,
         )
-        if not is_allowed or self._pending_permit is not None:
+        if not is_allowed:
             return False
         self.services.metrics.count(self._service_state.retry_metric)
         self.admit()
@@ -220,7 +240,27 @@
         is_retried = not_run or head.status in RETRIED_STATUSES
         if is_retried and self._retry(failure):
             return True
-        return bool(self._attempts or self._pending_hedge_permit is not None)
+        return self._is_in_progress()
+
+    def _has_attempts_left(self) -> bool:
+        """Whether one more attempt may be sent, be it a retry or a hedged attempt.
+
+        Permits for both can be pending at the same time, so this is asked at the moment
+        of sending.
+        """
+        limit = self.route.max_attempts or self.route.service.max_attempts
+        return self._attempt_count < limit
+
+    def _is_in_progress(self) -> bool:
+        """Whether an attempt runs, or another one may still be sent."""
+        if self._attempts:
+            return True
+        permits = (self._pending_permit, self._pending_hedge_permit)
+        return self._has_attempts_left() and permits != (None, None)
+
+    def _is_used(self, permit: Permit) -> bool:
+        """Whether an attempt that was sent meanwhile went to the same upstream."""
+        return permit.upstream.id in self._used_upstreams
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -244,8 +284,7 @@
 
     def _start_hedge(self) -> None:
         policy = self._service_state.policy
-        limit = self.route.max_attempts or self.route.service.max_attempts
-        if len(self._attempts) != 1 or self._attempt_count >= limit:
+        if len(self._attempts) != 1 or not self._has_attempts_left():
             return
         if not policy.may_hedge(self.now()):
             self._log_no_hedge("the retry budget is used up")
@@ -264,11 +303,15 @@
             reason = "the request has crashed upstreams"
         elif self.key_problem() is not None:
             reason = "the key of the request was taken away"
+        elif not self._has_attempts_left():
+            reason = "all attempts were made meanwhile"
+        elif self._is_used(permit):
+            reason = "a retry went to the same upstream"
         elif self._wants_no_requests(permit):
             reason = "the upstream wants no requests"
         if reason:
             self.release_unused(permit)
-            self._service_state.policy.refund_hedge(self.now())
+            self._service_state.policy.refund(self.now())
             self._log_no_hedge(reason)
             if not (self._attempts or self._pending_permit):
                 self.admit()
@@ -278,7 +321,7 @@
 
     def _hedge_not_admitted(self, failure: DeferredFailure) -> None:
         self._pending_hedge_permit = None
-        self._service_state.policy.refund_hedge(self.now())
+        self._service_state.policy.refund(self.now())
         if not failure.check(CancelledError):
             self._log_no_hedge(failure.getErrorMessage())
         if not (self.is_over or self._attempts or self._pending_permit):
@@ -303,7 +346,8 @@
             return False
         self.release_unused(permit)
         if problem is None:
-            # The permit counts towards the quota of the former workspace.
+            # The permit has drawn on the quota of the former workspace.
+            self._is_counted = self._attempt_count > 0
             self.admit()
         elif self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/zone_loans.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/zone_loans.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Any
 
 from logbook import Logger
@@ -19,9 +19,7 @@
 from banyanshelf_core.placement.lent_room import (
     LOAN_PERIOD_S,
     LOAN_VALIDITY_S,
-    MIN_GAIN_WITH_LOAN,
     Borrowers,
-    Loans,
     RoomNeed,
     ZoneState,
     lendable_calls,
@@ -44,12 +42,12 @@
 class ZoneLoans:
     """What this gateway lends and borrows, by service.
 
-    ``waiting_calls`` returns how many calls of a service wait for room here, and
-    ``is_enabled`` whether calls of a service may wait, and leave for lent room.
+    What is borrowed is noted in the service's selector, which places the calls.
+    ``waiting_calls`` returns how many calls of a service wait for room here.
 
     Example:
-        ``loans.lent_zones("desk")`` are the zones that calls of ``desk`` may go to;
-        ``loans.take("desk", "zone-b")`` uses one call of what that zone lends.
+        ``ZoneLoans(reactor, gossip, loads, sharing, queues.waiting_for, metrics)``
+        borrows and lends between ``start`` and ``stop``.
 
     """
 
@@ -60,7 +58,6 @@
         loads: ServiceLoads,
         sharing: LoadSharing,
         waiting_calls: Callable[[ServiceName], int],
-        is_enabled: Callable[[ServiceName], bool],
         metrics: Metrics,
     ) -> None:
         self._reactor = reactor
@@ -68,11 +65,9 @@
         self._loads = loads
         self._sharing = sharing
         self._waiting_calls = waiting_calls
-        self._is_enabled = is_enabled
         self._metrics = metrics
         self._identity = gossip.members.identity
         self._need_by_service: dict[ServiceName, RoomNeed] = {}
-        self._loans_by_service: dict[ServiceName, Loans] = {}
         self._borrowers_by_service: dict[ServiceName, Borrowers] = {}
         # Address of the gateway that lends for a zone, and when it last answered
         self._lender_by_zone: dict[str, tuple[str, float]] = {}
@@ -91,25 +86,6 @@
 
     # Borrowing
 
-    def lent_zones(self, service_name: ServiceName) -> Collection[str]:
-        """Return the other zones that still lend room for calls of a service."""
-        loans = self._loans_by_service.get(service_name)
-        if loans is None:
-            return ()
-        left_by_zone = loans.snapshot(self._reactor.seconds())
-        return [zone for zone, calls in left_by_zone.items() if calls]
-
-    def take(self, service_name: ServiceName, zone: str) -> None:
-        """Count a call that was sent to another zone against what that zone lends."""
-        loans = self._loans_by_service.get(service_name)
-        if loans is not None:
-            loans.take(self._reactor.seconds(), zone)
-            self._metrics.count("zones.calls_sent")
-
-    def min_gain(self, service_name: ServiceName) -> float | None:
-        """Return the gain for which calls leave, or None if nothing is lent."""
-        return MIN_GAIN_WITH_LOAN if self.lent_zones(service_name) else None
-
     def _ask(self) -> None:
         if self._sharing.peer_aggregator is not None:
             return
@@ -128,7 +104,7 @@
 
     def _is_short(self, service_name: ServiceName) -> bool:
         selector = self._loads.selector_by_service.get(service_name)
-        if selector is None or not self._is_enabled(service_name):
+        if selector is None:
             return False
         need = self._need_by_service.setdefault(service_name, RoomNeed())
         was_short = need.is_short
@@ -148,7 +124,9 @@
             )
         return is_short
 
-    def _state(self, service_name: ServiceName, selector: PlacementSelector) -> ZoneState:
+    def _state(
+        self, service_name: ServiceName, selector: PlacementSelector
+    ) -> ZoneState:
         waiting = self._waiting_calls(service_name)
         return zone_state(self._reactor.seconds(), selector, waiting)
 
@@ -170,8 +148,10 @@
         self._lender_by_zone[offer.zone] = address, now
         self._loads.apply_reports(offer.reports)
         for name, calls in offer.calls_by_service.items():
-            loans = self._loans_by_service.setdefault(name, Loans())
-            loans.note(now, offer.zone, calls)
+            selector = self._loads.selector_by_service.get(name)
+            if selector is not None:
+                selector.loans.note(now, offer.zone, calls)
+                self._metrics.count("zones.calls_borrowed", calls)
 
     def _short_count(self) -> int:
         return sum(each.is_short for each in self._need_by_service.values())
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
@@ -14,6 +14,7 @@
     Datagram,
     Greeting,
     LimitQuery,
+    QuotaDraw,
     RoomQuery,
     ZoneDigest,
 )
@@ -50,7 +51,7 @@
             addresses = [row[1] for row in [datagram.sender, *datagram.members]]
         case ZoneDigest():
             addresses = [row[1] for row in datagram.members]
-        case LimitQuery() | RoomQuery():
+        case LimitQuery() | QuotaDraw() | RoomQuery():
             addresses = [datagram.reply_to]
         case _:
             return
