--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -26,7 +26,7 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.pace_model import PaceModel
-from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.placement.upstream_load import NO_COLD_RULES, UpstreamLoad
 from banyanshelf_core.placement.work_estimate import WorkEstimate
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_core.request_rate import RECHECK_PERIOD_S
@@ -99,6 +99,7 @@
         self._rng = rng
         self._zone = zone
         self.loads_by_id: dict[UpstreamId, UpstreamLoad] = {}
+        self.cold_rules = NO_COLD_RULES
         self.estimate = WorkEstimate()
         self.pace = PaceModel()
 
@@ -110,18 +111,19 @@
         for upstream_id, upstream in upstreams.items():
             load = previous.get(upstream_id)
             if load is None or load.upstream.incarnation != upstream.incarnation:
-                load = UpstreamLoad(upstream)
+                load = UpstreamLoad(upstream, cold_rules=self.cold_rules)
                 load.replace(now, upstream)
             elif load.upstream != upstream:
                 load.replace(now, upstream)
+            load.cold_rules = self.cold_rules
             self.loads_by_id[upstream_id] = load
 
     def choose(self, now: float, request: PlacementRequest) -> Placed | Refused:
         """Return the upstream for a call, or why the call is refused."""
-        near = self._candidates(now, request, is_same_zone=True)
+        near = self.candidates(now, request, is_same_zone=True)
         far: list[Candidate] = []
         if not self._is_fast_enough(now, request, near):
-            far = self._candidates(now, request, is_same_zone=False)
+            far = self.candidates(now, request, is_same_zone=False)
         if not near and not far:
             return self._refuse_without_upstream(now, request)
         if near:
@@ -146,16 +148,22 @@
             return Refused(
                 "no upstream can answer in time", max(MIN_RETRY_AFTER_S, wait_s)
             )
+        return self.placed(now, (expected_s, load), len(near) + len(far))
+
+    def placed(self, now: float, chosen: Candidate, candidates: int) -> Placed:
+        """Return the placement at an upstream, chosen from so many candidates."""
+        expected_s, load = chosen
+        is_same_zone = load.upstream.zone == self._zone
         return Placed(
             load.upstream,
             expected_s,
-            len(near) + len(far),
-            "near" if load.upstream.zone == self._zone else "far",
+            candidates,
+            "near" if is_same_zone else "far",
             load.in_flight(now),
             1 / load.rate,
             now - load.reported_at,
-            load.upstream.zone == self._zone,
-            load.stated_limit.per_s,
+            is_same_zone,
+            load.limit(now).per_s,
         )
 
     def _refuse_without_upstream(
@@ -337,13 +345,19 @@
         if load is not None:
             load.eject(now)
 
-    def _is_usable(self, now: float, load: UpstreamLoad) -> bool:
-        upstream = load.upstream
-        if upstream.state is not UpstreamState.LIVE or load.is_ejected(now):
-            return False
-        if load.is_limited(now) or load.is_paused(now):
+    def is_usable(self, now: float, load: UpstreamLoad) -> bool:
+        """Whether the upstream takes one more call, at least into its queue."""
+        if not load.takes_calls(now):
             return False
-        return load.in_flight(now) < upstream.slots + MAX_QUEUED_CALLS
+        return load.in_flight(now) < load.upstream.slots + MAX_QUEUED_CALLS
+
+    def local_loads(self) -> list[UpstreamLoad]:
+        """Return the loads of the upstreams of the local zone."""
+        return [
+            load
+            for load in self.loads_by_id.values()
+            if load.upstream.zone == self._zone
+        ]
 
     def _utilization(self, now: float) -> float:
         """Return the share of the local zone's slots that are in use.
@@ -352,23 +366,19 @@
         """
         used = slots = all_used = all_slots = 0.0
         for load in self.loads_by_id.values():
-            upstream = load.upstream
-            is_live = upstream.state is UpstreamState.LIVE and not load.is_ejected(now)
-            is_held_back = load.is_limited(now) or load.is_paused(now)
-            is_usable = is_live and not is_held_back
-            if not is_usable:
+            if not load.takes_calls(now):
                 continue
-            in_use = min(upstream.slots, load.in_flight(now))
+            in_use = min(load.upstream.slots, load.in_flight(now))
             all_used += in_use
-            all_slots += upstream.slots
-            if upstream.zone == self._zone:
+            all_slots += load.upstream.slots
+            if load.upstream.zone == self._zone:
                 used += in_use
-                slots += upstream.slots
+                slots += load.upstream.slots
         if slots:
             return used / slots
         return all_used / all_slots if all_slots else 1.0
 
-    def _candidates(
+    def candidates(
         self, now: float, request: PlacementRequest, *, is_same_zone: bool
     ) -> list[Candidate]:
         """Return the usable upstreams of the local zone, or those of other zones."""
@@ -377,7 +387,7 @@
             for upstream_id, load in self.loads_by_id.items()
             if (load.upstream.zone == self._zone) == is_same_zone
             and upstream_id not in request.excluded
-            and self._is_usable(now, load)
+            and self.is_usable(now, load)
         ]
 
     def _is_fast_enough(
@@ -403,8 +413,8 @@
         Traffic between zones costs money, so a faster response alone does not justify
         it; only a higher probability of answering in time does.
         """
-        best_near = self._fastest(near)
-        best_far = self._fastest(far)
+        best_near = self.fastest(near)
+        best_far = self.fastest(far)
         if best_near is None or best_far is None:
             found = best_near or best_far
             assert found is not None
@@ -417,7 +427,8 @@
             return best_far
         return best_near
 
-    def _fastest(self, candidates: list[Candidate]) -> Candidate | None:
+    def fastest(self, candidates: list[Candidate]) -> Candidate | None:
+        """Return one of the fastest candidates, or None without any."""
         if not candidates:
             return None
         least = min(each[0] for each in candidates)
