Mark requests whose upstreams go silent

Cause: a request was marked only when its connection was cut and another one was cut or refused. An upstream that goes silent with the crash cuts none, so that the request was sent to further upstreams each time it came.

Change: when a call ends without an answer, its attempts that got no byte of one, and whose answers were due, make their request a suspect, and the upstream gets a health check. If that or the upstream's next connection goes unanswered, the request gets a mark, shared and kept like others. It gets none if any gateway of the zone has heard of the upstream meanwhile, if the upstream answers, or if the request was sent 0.5 s after the first silent one. The mark's id names the upstream's incarnation, so that one bad link or frozen upstream gives one mark at all gateways together; two refuse a request.

The data path scenarios play the native dialect; banyanshelfd waits for the next connection or probe, as it sends no health check of its own here.

--- a/features/core/crash_guard.feature
+++ b/features/core/crash_guard.feature
@@ -20,6 +20,26 @@
       | crash loop through several gateways | cut r desk-1 1.0; cut - desk-1 1.1; mark r 1.2 | 1 | r@2.0 | |
       | refusal after an answer elsewhere   | cut r desk-1 1.0; cut - desk-1 1.1; mark r 1.2; clear r | 1 | | r@2.0 |
 
+  # "silent r d1 7 1.0 1.6" sends r at 1.0 s to incarnation 7 of d1, unanswered at 1.6 s;
+  # "unanswered d1 2.0 0.9" is a failed check at 2.0 s, when d1 was last heard of at 0.9 s.
+  Scenario Outline: Upstreams that go silent: no <failure>
+    Given a crash guard with limit 2 and quarantine 600 s
+    When the crash guard sees "<events>"
+    Then the crash guard sends <marks> marks, refuses "<refused>" and runs "<run>"
+
+    Examples:
+      | failure                                | events | marks | refused | run |
+      | crash loop                             | silent r d1 7 1.0 1.6; silent r d2 7 1.2 1.6; unanswered d1 2.0 0.9; unanswered d2 2.0 0.9 | 2 | r@2.1 | s@2.1 |
+      | crash loop of one upstream             | silent r d1 7 1.0 1.6; unanswered d1 2.0 0.9; silent r d1 8 9.0 9.6; unanswered d1 9.9 8.9 | 2 | r@10.0 | |
+      | mark without a failed check            | silent r d1 7 1.0 1.6; silent r d2 7 1.2 1.6 | 0 | | r@2.1 |
+      | mark at a slow upstream                | silent r d1 7 1.0 1.6; alive d1; unanswered d1 2.0 0.9 | 0 | | r@2.1 |
+      | mark for one lost link                 | silent r d1 7 1.0 1.6; unanswered d1 2.0 1.9 | 0 | | r@2.1 |
+      | mark by a check much later             | silent r d1 7 1.0 1.6; unanswered d1 4.7 0.9 | 0 | | r@4.8 |
+      | two marks for one frozen upstream      | silent r d1 7 1.0 1.6; unanswered d1 2.0 0.9; silent r d1 7 5.0 5.6; unanswered d1 6.0 0.9 | 1 | | r@6.1 |
+      | two marks by two gateways              | silent r d1 7 1.0 1.6; unanswered d1 2.0 0.9; mark r 4.0 silent/d1/7 d1 | 1 | | r@4.1 |
+      | mark for a request sent after a crash  | silent r d1 7 1.0 1.6; silent s d1 7 1.6 2.2; unanswered d1 2.3 0.9; silent s d2 7 3.0 3.6; unanswered d2 4.0 0.9 | 2 | | s@4.1 |
+      | mark after an answer elsewhere         | silent r d1 7 1.0 1.6; answer r; unanswered d1 2.0 0.9 | 0 | | r@2.1 |
+
   # "clear r 1.0 a" clears the crash with id a, and "mark r 1.1 a" tells of it.
   Scenario Outline: Marks that arrive late or again: no <failure>
     Given a crash guard with limit 2 and quarantine 600 s
--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -90,6 +90,27 @@
       | a streamed answer          | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> long 100000 | 2 |
       | a cut streamed answer      | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> cut | 1 |
 
+  # Guards against crashes that are not noticed because the upstream went silent, and
+  # against blame for requests whose upstreams are merely slow.
+  Scenario Outline: A request that was not answered is marked <times> after <events>
+    Given a data path with upstream_count=2
+    When these data path events happen: "<events>"
+    Then the data path shows "marks <times>"
+
+    Examples:
+      | times | events |
+      | 1 | POST /a bad >> silence >> wait 2.1 >> probe >> wait 1.1 |
+      | 1 | POST /a bad >> silence >> wait 2.1 >> refuse 1 >> GET /b |
+      | 1 | GET /a >> silence >> wait 0.5 >> gone >> another >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 503 ill |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok >> probe >> wait 1.1 |
+      | 0 | warm >> GET /a >> silence >> wait 0.02 >> 200 ok >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 1.95 >> heard >> wait 0.1 >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> wait 0.1 >> heard >> probe >> wait 1.1 |
+      | 0 | hold_permits >> GET /a >> wait 2.1 >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> upstream HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n >> wait 2.1 >> probe >> wait 1.1 |
+
   # Guards against a member that never learns of what happened while it had no link.
   Scenario Outline: A member whose link comes up is told of <what>
     Given a data path with upstream_count=3
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -304,6 +304,9 @@
     "hold_permits": lambda c: setattr(c.path.permits, "is_holding_back", True),
     "grant": lambda c: (c.path.permits.grant_held(), c.path.settle()),
     "grant_one": lambda c, at: (c.path.permits.grant_one(int(at)), c.path.settle()),
+    "heard": lambda c: setattr(
+        c.path.permits, "last_heard_at", c.path.reactor.seconds()
+    ),
     "hold_record": lambda c: setattr(c.path.claims, "record_waiter", Deferred()),
     "record": lambda c: c.path.claims.record_waiter.callback(None),
     "gone": lambda c: c.caller.cut(),
--- a/features/steps/crashing_fleet.py
+++ b/features/steps/crashing_fleet.py
@@ -81,8 +81,11 @@
 class _Permits:
     """Grants any listed upstream that the call has not used yet."""
 
-    def __init__(self, fleet):
-        self.fleet = fleet
+    def __init__(self, fleet, gateway):
+        self.fleet, self.gateway = fleet, gateway
+
+    def check_health(self, upstream):
+        self.fleet.handlers[self.gateway].probe(upstream)
 
     def acquire(self, service_name, request):
         listed = self.fleet.upstreams_by_service[service_name]
@@ -98,8 +101,9 @@
 class _Connection:
     """One connection of a gateway to an upstream, seen from the gateway."""
 
-    def __init__(self, fleet, upstream, protocol):
+    def __init__(self, fleet, gateway, upstream, protocol):
         self.fleet, self.upstream, self.protocol = fleet, upstream, protocol
+        self.gateway = gateway
         self.is_open = True
         upstream.connections[self] = True
         protocol.makeConnection(self)
@@ -141,10 +145,14 @@
         self.mood = "well"
 
     def receive(self, connection, data):
+        if not self.is_up or self.fleet.has_lost_link(connection.gateway, self.name):
+            return
         target = data.split(b" ", 2)[1]
         if target == POISON:
             self.fleet.arrivals.append(self.fleet.reactor.seconds())
         match self.mood:
+            case "frozen":
+                pass
             case "full":
                 self._answer(connection, "503 Full", NOT_EXECUTED)
             case "failing":
@@ -167,12 +175,30 @@
             return
         self.fleet.crashes.append(self.fleet.reactor.seconds())
         self.is_up = False
-        for connection in list(self.connections):
-            self.fleet.reactor.callLater(TRIP_S, connection.end, ConnectionLost())
+        if not self.fleet.goes_silent:
+            self._end_connections()
         self.fleet.reactor.callLater(RESTART_S, self.start)
 
     def start(self):
         self.is_up = True
+        if self.fleet.goes_silent:
+            self._end_connections()
+            self.fleet.start_again(self.name)
+
+    def _end_connections(self):
+        for connection in list(self.connections):
+            self.fleet.reactor.callLater(TRIP_S, connection.end, ConnectionLost())
+
+
+class _GatewayReactor:
+    """The fleet's clock, with connections that know their gateway."""
+
+    def __init__(self, fleet, gateway):
+        self.fleet, self.gateway = fleet, gateway
+        self.seconds, self.callLater = fleet.reactor.seconds, fleet.reactor.callLater
+
+    def connectTCP(self, host, port, factory, timeout):  # noqa: N802
+        self.fleet.connect(self.gateway, host, factory, timeout)
 
 
 class CrashingFleet(LoadZone):
@@ -182,16 +208,17 @@
         self.upstreams_by_service = {"desk": {}, "till": {}}
         self.servers = {}
         self.arrivals, self.crashes, self.poison_statuses = [], [], []
-        self.statuses = []
+        self.statuses, self.honest_statuses = [], []
         self.handlers, self.exchanges = {}, {}
         self.started_at = {}
+        self.goes_silent = False
+        self.lost_links = set()
         self.rng = random.Random(seed)
         self.version = 0
         self._route_to(["desk"])
         super().__init__(
             gateways, upstreams, self.rng, lambda number: f"z{number % zones}"
         )
-        self.reactor.connectTCP = self.connect
         for number in range(upstreams):
             name = f"u{number + 1}"
             service = ("desk", "till")[number % 2]
@@ -218,19 +245,32 @@
     def report_leaving(self, upstream_id, reason):
         pass
 
-    def connect(self, host, _port, factory, timeout):
+    def connect(self, gateway, host, factory, timeout):
         server = self.servers[host]
-        if server.mood == "dark":
+        is_silent = self.goes_silent and not server.is_up
+        has_lost_link = self.has_lost_link(gateway, server.name)
+        if server.mood == "dark" or is_silent or has_lost_link:
             reason = Failure(TimeoutError())
             self.reactor.callLater(
                 timeout, factory.clientConnectionFailed, None, reason
             )
             return
-        self.reactor.callLater(2 * TRIP_S, self._connected, server, factory)
+        self.reactor.callLater(2 * TRIP_S, self._connected, gateway, server, factory)
 
-    def _connected(self, server, factory):
+    def has_lost_link(self, gateway, name):
+        """Whether nothing that a gateway sends reaches an upstream."""
+        return (gateway, name) in self.lost_links
+
+    def start_again(self, name):
+        """Give an upstream its next incarnation."""
+        for listed in self.upstreams_by_service.values():
+            if name in listed:
+                incarnation = listed[name].incarnation + 1
+                listed[name] = listed[name]._replace(incarnation=incarnation)
+
+    def _connected(self, gateway, server, factory):
         if server.is_up:
-            _Connection(self, server, factory.buildProtocol(None))
+            _Connection(self, gateway, server, factory.buildProtocol(None))
         else:
             factory.clientConnectionFailed(None, Failure(RefusedError()))
 
@@ -246,12 +286,12 @@
             host_list_url="http://127.0.0.1:6",
             **{each: f"127.0.0.1:{at}" for at, each in enumerate(addresses, 1)},
         )
-        reactor = self.reactor
+        reactor = _GatewayReactor(self, name)
         self.handlers[name] = CallHandler(
             reactor,
             settings,
             self,
-            _Permits(self),
+            _Permits(self, name),
             None,
             self,
             link,
@@ -319,6 +359,18 @@
         else:
             self.call(name, b"/safe/%d" % self.rng.getrandbits(40), self.statuses)
 
+    def repeat_honest(self, seconds, target, rate):
+        """Let one harmless request come again and again, at gateways in turn."""
+        for number in range(round(seconds * rate)):
+            name = sorted(self.handlers)[number % len(self.handlers)]
+            self.call(name, target, self.honest_statuses)
+            self.run(1 / rate, 0, 20)
+
+    def lose_link(self):
+        """Cut the link between one gateway and one upstream, without a reset."""
+        server = next(iter(self.servers.values()))
+        self.lost_links.add((sorted(self.handlers)[0], server.name))
+
     def change_mood(self, share, mood):
         """Let a share of the upstreams answer or fail in some way."""
         servers = list(self.servers.values())
--- a/features/steps/crashing_fleet_steps.py
+++ b/features/steps/crashing_fleet_steps.py
@@ -21,6 +21,45 @@
     context.fleet.lost_share = 1 / count
 
 
+@given("upstreams go silent when they crash")
+def step_silent(context):
+    context.fleet.goes_silent = True
+
+
+@given("one gateway has lost its link to one upstream")
+def step_lost_link(context):
+    # The gateway has connections that it does not know to be lost.
+    context.fleet.run(2.0, 0, 40)
+    context.fleet.lose_link()
+
+
+@given("one upstream is frozen")
+def step_frozen(context):
+    next(iter(context.fleet.servers.values())).mood = "frozen"
+
+
+@when(
+    "callers send the same harmless request {rate:d} times a second for {seconds:g} s, "
+    "and others"
+)
+def step_honest(context, rate, seconds):
+    context.fleet.repeat_honest(seconds, b"/unsafe/same", rate)
+
+
+@then("no harmless request was refused")
+def step_no_refusal(context):
+    fleet = context.fleet
+    assert fleet.honest_statuses and fleet.statuses
+    refused = [fleet.honest_statuses.count(503), fleet.statuses.count(503)]
+    assert refused == [0, 0], refused
+
+
+@then("some requests have got no answer of an upstream")
+def step_unanswered(context):
+    fleet = context.fleet
+    assert 504 in fleet.honest_statuses + fleet.statuses
+
+
 @when("{share:d} % of the upstreams are {mood}")
 def step_mood(context, share, mood):
     context.fleet.change_mood(share / 100, mood)
--- a/features/steps/datapath_core_steps.py
+++ b/features/steps/datapath_core_steps.py
@@ -9,6 +9,7 @@
 from banyanshelf_core.crash_records import QuarantineRules
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RequestMatcher
+from banyanshelf_core.model import Upstream
 from banyanshelf_core.retry import Failure, RetryBudget, RetryPolicy
 from banyanshelf_core.text import Protection, Service, parse_text
 
@@ -78,6 +79,21 @@
                 context.effects += guard.record_connection_cut(
                     rest[0], float(rest[1]), protection, fingerprint
                 )
+            case "silent":
+                name, incarnation, sent_at, ended_at = rest
+                upstream = Upstream(
+                    name, "s", "a:1", "z", 1, incarnation=int(incarnation)
+                )
+                guard.record_silence(
+                    upstream, request, sent_at=float(sent_at), now=float(ended_at)
+                )
+            case "unanswered":
+                now, heard_at = (float(each) for each in rest)
+                context.effects += guard.record_unanswered_check(
+                    request, now, protection, heard_at
+                )
+            case "alive":
+                guard.record_upstream_answer(request)
             case "answer":
                 context.effects += guard.record_answer(request)
             case "mark":
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import math
 import random
 from unittest.mock import Mock
 
@@ -86,6 +87,11 @@
         self.is_holding_back = False
         self.held = []
         self.refusal = None
+        self.granted, self.hedge_after_s = 0, None
+        self.last_heard_at = -math.inf
+
+    def heard_at(self, upstream_id):
+        return self.last_heard_at
 
     def acquire(self, service_name, request):
         self.requests.append(request)
@@ -94,7 +100,16 @@
             return self.held[-1][2]
         free = [each for each in self.upstreams if each.id not in request.excluded]
         if self.refusal is None and free:
-            return succeed(Permit(free[0], 4, "idle_permit", len(self.upstreams)))
+            self.granted += 1
+            return succeed(
+                Permit(
+                    free[0],
+                    4,
+                    "idle_permit",
+                    len(self.upstreams),
+                    hedge_after_s=self.hedge_after_s,
+                )
+            )
         return fail(self.refusal or NotAdmittedError("no upstream is left", 1.0))
 
     def grant_held(self):
@@ -102,6 +117,9 @@
         self.is_holding_back = False
         held, self.held = self.held, []
         for service_name, request, waiter in held:
+            if waiter.called:
+                # It was cancelled.
+                continue
             self.acquire(service_name, request).chainDeferred(waiter)
 
     def grant_one(self, at):
--- a/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/crash_guard.py
@@ -9,7 +9,8 @@
 
 from banyanshelf_core.call_messages import CrashClear, CrashMark
 from banyanshelf_core.crash_records import CrashRecords, CrashRow, QuarantineRules
-from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
+from banyanshelf_core.model import Broadcast, MemberId, Upstream, UpstreamId
+from banyanshelf_core.silent_attempts import SilentAttempts
 from banyanshelf_core.text import Protection
 
 INCIDENT_WINDOW_S = 0.5
@@ -63,6 +64,9 @@
     refuses or cuts another connection within 500 ms. All cuts in that time belong to
     one crash, which marks a request once. Marks are shared with all members.
 
+    A request whose upstream goes silent is marked when the upstream's next connection
+    or health check fails too.
+
     Example:
         After ``guard.record_connection_cut("desk-1", now, protection, fingerprint)``
         for the call, ``guard.record_connection_cut("desk-1", now, protection)`` for
@@ -77,6 +81,7 @@
         self._incidents: OrderedDict[UpstreamId, _Incident] = OrderedDict()
         self.records = CrashRecords()
         self._suspects: set[str] = set()
+        self._silent = SilentAttempts()
 
     @property
     def has_tracked_requests(self) -> bool:
@@ -84,7 +89,7 @@
 
         If not, callers need not compute fingerprints.
         """
-        return bool(len(self.records) or self._suspects)
+        return bool(len(self.records) or self._suspects or self._silent.has_suspects)
 
     def record_connection_cut(
         self,
@@ -108,18 +113,46 @@
             self._suspects.add(fingerprint)
         if incident.cut_connections < MIN_CUTS_PER_CRASH:
             return []
-        return [
-            Broadcast(CrashMark(marked, incident.crash_id, upstream_id))
-            for marked in sorted(incident.fingerprints)
-            if self.records.add(
-                CrashRow(marked, incident.crash_id, upstream_id, 0.0),
-                now,
-                QuarantineRules.from_protection(protection),
-            )
-        ]
+        return self._mark(
+            incident.crash_id,
+            sorted(incident.fingerprints),
+            upstream_id,
+            now,
+            protection,
+        )
+
+    def record_silence(
+        self, upstream: Upstream, fingerprint: str, *, sent_at: float, now: float
+    ) -> None:
+        """Record a request that was sent and got no byte of an answer."""
+        self._silent.add(upstream, fingerprint, sent_at=sent_at, now=now)
+
+    def record_unanswered_check(
+        self,
+        upstream_id: UpstreamId,
+        now: float,
+        protection: Protection,
+        heard_at: float,
+    ) -> list[Broadcast]:
+        """Record a connection or health check that got no answer.
+
+        ``heard_at`` is the last time that any member has heard of the upstream: a link
+        may have failed instead.
+        """
+        crash = self._silent.take(upstream_id, now, heard_at)
+        if crash is None:
+            return []
+        return self._mark(
+            crash.crash_id, crash.fingerprints, upstream_id, now, protection
+        )
+
+    def record_upstream_answer(self, upstream_id: UpstreamId) -> None:
+        """Record that an upstream has answered a request or a health check."""
+        self._silent.answered(upstream_id)
 
     def record_answer(self, fingerprint: str) -> list[Broadcast]:
         """Remove the marks of a request that an upstream has run to its end."""
+        self._silent.forget(fingerprint)
         if fingerprint in self._suspects:
             self._suspects.discard(fingerprint)
             for incident in self._incidents.values():
@@ -180,6 +213,23 @@
         rules = QuarantineRules.from_protection(protection)
         return self.records.refused_for_s(fingerprint, now, rules)
 
+    def _mark(
+        self,
+        crash_id: str,
+        fingerprints: list[str],
+        upstream_id: UpstreamId,
+        now: float,
+        protection: Protection,
+    ) -> list[Broadcast]:
+        rules = QuarantineRules.from_protection(protection)
+        return [
+            Broadcast(CrashMark(marked, crash_id, upstream_id))
+            for marked in fingerprints
+            if self.records.add(
+                CrashRow(marked, crash_id, upstream_id, 0.0), now, rules
+            )
+        ]
+
     def _begin_incident(self, upstream_id: UpstreamId, now: float) -> _Incident:
         self._crashes += 1
         self._forget(self._incidents.pop(upstream_id, None))
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/attempt.py
@@ -87,6 +87,11 @@
         self._size = 0
         self._long_answer: LongAnswerReceiver | None = None
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the request was sent and no head of an answer has arrived."""
+        return self.is_sent and self._head is None
+
     def start(
         self,
         data: bytes,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -237,6 +237,7 @@
         self._services = services
         self._upstream = upstream
         self._status = 0
+        self._is_answered = False
         self._request = request
         self._connection: UpstreamConnection | None = None
         self._waiter: Deferred[UpstreamConnection] | None = None
@@ -256,6 +257,7 @@
     def answer_begun(self, head: AnswerHead) -> None:
         """Read the status and what the answer says of its upstream."""
         self._status = head.status
+        self._is_answered = True
         if self._services.dialect.answered_by(head) not in (None, self._upstream.id):
             self._status = 0
             return
@@ -302,5 +304,8 @@
         for timer in (self._timer, self._retry_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        if not self.result.called:
-            self.result.callback(is_alive)
+        if self.result.called:
+            return
+        if not self._is_answered:
+            self._services.upstream_unanswered(self._upstream.id)
+        self.result.callback(is_alive)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_results.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_results.py
@@ -52,8 +52,10 @@
     ) -> None:
         """Answer with problem details that tell whether the request may have run."""
         self._may_have_run = self._is_sent()
-        if not self._end(attempts_end_as):
+        if self.is_over:
             return
+        self._note_silent_attempts()
+        self._end(attempts_end_as)
         outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
         self.report_metrics(status, 0.0)
         self.log_outcome(status, None, outcome=outcome.value, detail=detail)
@@ -145,6 +147,18 @@
         if crashes.guard.has_tracked_requests and shows_completed_run(status):
             crashes.record_answer(self.fingerprint(), self.request_id, status)
 
+    def _note_silent_attempts(self) -> None:
+        """Report attempts whose answers were due, as the call ends without one."""
+        due_s = self._service_state.policy.slow_answer_s
+        for attempt in self._attempts:
+            if attempt.is_unanswered and self.now() - attempt.started >= due_s:
+                self.services.attempt_silent(
+                    attempt.permit.upstream,
+                    self.fingerprint(),
+                    self.request_id,
+                    attempt.started,
+                )
+
     def _is_replaced(self, head: Answer | AnswerHead) -> bool:
         """Whether the caller gets an error answer of this gateway in its place."""
         return self.says_not_run(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -40,6 +40,9 @@
 REFUSAL_WINDOW_S = 2.0
 REFUSALS_BEFORE_NOTICE = 2
 POOL_SWEEP_INTERVAL_S = 10.0
+# An upstream whose load report is newer has not gone silent. Under overload, this saves
+# a health check for each call that expires.
+RECENT_REPORT_S = 0.2
 
 
 class ServiceState:
@@ -111,6 +114,8 @@
         self._rng = rng
         self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
+        self._check_health = getattr(permits, "check_health", None)
+        self._heard_at = getattr(permits, "heard_at", None)
         self._sweep_call: Any = None
         directory.on_upstreams_change(self._drop_unknown_pools)
 
@@ -156,6 +161,29 @@
         self.metrics.count("signal.cut")
         self.crashes.record_cut(upstream_id, fingerprint, request_id)
 
+    def attempt_silent(
+        self, upstream: Upstream, fingerprint: str, request_id: str, sent_at: float
+    ) -> None:
+        """Handle a request that was sent and got no byte of an answer in time.
+
+        A health check shows whether the upstream is merely slow.
+        """
+        if self.now() - self._last_heard_at(upstream.id) < RECENT_REPORT_S:
+            return
+        self.crashes.record_silence(upstream, fingerprint, request_id, sent_at)
+        if self._check_health is not None:
+            self._check_health(upstream)
+
+    def upstream_unanswered(self, upstream_id: UpstreamId) -> None:
+        """Handle a connection attempt or a health check without any answer."""
+        heard_at = self._last_heard_at(upstream_id)
+        self.crashes.record_unanswered_check(upstream_id, heard_at)
+
+    def _last_heard_at(self, upstream_id: UpstreamId) -> float:
+        if self._heard_at is None:
+            return -math.inf
+        return float(self._heard_at(upstream_id))
+
     def head_received(self, upstream: Upstream, head: AnswerHead) -> None:
         """Read what the head of an answer to a call or a probe says of its upstream.
 
@@ -171,6 +199,7 @@
             self.metrics.count("signal.misdirected")
             self._directory.report_leaving(upstream_id, "another instance answered")
             return
+        self.crashes.guard.record_upstream_answer(upstream_id)
         self._note_limit(upstream_id, head)
         self._note_load(upstream_id, head)
         self._read_pause(upstream, head)
@@ -258,6 +287,7 @@
         self.crashes.record_cut(upstream_id)
         if kind == "closed":
             return
+        self.upstream_unanswered(upstream_id)
         now = self.now()
         times = self._refusals_by_upstream.setdefault(upstream_id, [])
         times[:] = [time for time in times if now - time <= REFUSAL_WINDOW_S]
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/crash_sharing.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/crash_sharing.py
@@ -8,7 +8,7 @@
 from banyanshelf_core.call_messages import CrashClear, CrashMark
 from banyanshelf_core.crash_guard import MICROSECONDS_PER_SECOND, CrashGuard
 from banyanshelf_core.crash_records import CrashRow, QuarantineRules
-from banyanshelf_core.model import Broadcast, MemberId, UpstreamId
+from banyanshelf_core.model import Broadcast, MemberId, Upstream, UpstreamId
 from banyanshelf_core.text import Protection
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.interfaces import PeerNetwork
@@ -64,14 +64,29 @@
         effects = self.guard.record_connection_cut(
             upstream_id, self._now(), self._protection(), fingerprint
         )
-        for effect in effects:
-            self._metrics.count("crash.marked")
-            self._log.warning(
-                "crash_marked",
-                upstream=upstream_id,
-                fingerprint=_short(_fingerprint_of(effect)),
-            )
-        self._broadcast(effects)
+        self._tell_marks(upstream_id, effects)
+
+    def record_silence(
+        self, upstream: Upstream, fingerprint: str, request_id: str, sent_at: float
+    ) -> None:
+        """Handle a request that its upstream has not answered with any byte."""
+        self._metrics.count("crash.silent")
+        self._log.event(
+            "request unanswered",
+            request_id=request_id,
+            upstream=upstream.id,
+            fingerprint=_short(fingerprint),
+        )
+        self.guard.record_silence(
+            upstream, fingerprint, sent_at=sent_at, now=self._now()
+        )
+
+    def record_unanswered_check(self, upstream_id: UpstreamId, heard_at: float) -> None:
+        """Handle a connection or health check that an upstream has not answered."""
+        effects = self.guard.record_unanswered_check(
+            upstream_id, self._now(), self._protection(), heard_at
+        )
+        self._tell_marks(upstream_id, effects)
 
     def record_answer(self, fingerprint: str, request_id: str, status: int) -> None:
         """Clear the marks of a request that has been answered."""
@@ -135,6 +150,16 @@
     def _rules(self) -> QuarantineRules:
         return QuarantineRules.from_protection(self._protection())
 
+    def _tell_marks(self, upstream_id: UpstreamId, effects: list[Broadcast]) -> None:
+        for effect in effects:
+            self._metrics.count("crash.marked")
+            self._log.warning(
+                "crash_marked",
+                upstream=upstream_id,
+                fingerprint=_short(_fingerprint_of(effect)),
+            )
+        self._broadcast(effects)
+
     def _broadcast(self, effects: list[Broadcast]) -> None:
         for effect in effects:
             self._network.broadcast(effect.message)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/health_questions.py
@@ -122,6 +122,14 @@
             self._prober_by_upstream[upstream_id] = prober_id
         return prober_id
 
+    def check(self, selector: PlacementSelector, upstream: Upstream) -> None:
+        """Probe an upstream, unless a probe is on its way or it wants no requests."""
+        load = selector.loads_by_id.get(upstream.id)
+        if load is None or upstream.id in self._probing:
+            return
+        if not load.is_paused(self._reactor.seconds()):
+            self.probe_upstream(selector, load.upstream)
+
     def probe_upstream(
         self, selector: PlacementSelector, upstream: Upstream
     ) -> Deferred[None]:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -41,6 +41,7 @@
         A non-idempotent call whose request has been sent is not interrupted.
         """
         if not self.is_over and (self.route.idempotent or not self._is_sent()):
+            self._note_silent_attempts()
             self._end()
             self.services.log.event(
                 "caller left",
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -318,6 +318,19 @@
         if self.loads.note_report(upstream_id, report):
             self._sharing.publish_report(upstream_id, report)
 
+    def check_health(self, upstream: Upstream) -> None:
+        """Probe an upstream that has not answered a call."""
+        selector = self.loads.selector_for(upstream.id)
+        if selector is not None:
+            self._prober.check(selector, upstream)
+
+    def heard_at(self, upstream_id: UpstreamId) -> float:
+        """Return when any gateway of the zone last had a load report of an upstream."""
+        selector = self.loads.selector_for(upstream_id)
+        if selector is None:
+            return -math.inf
+        return selector.loads_by_id[upstream_id].reported_at
+
     def note_request_limit(self, upstream_id: UpstreamId, limit: float | None) -> None:
         """Apply the request limit that an answer states, or that it states none."""
         stated = StatedLimit(limit, self._reactor.seconds())
