Keep the later start of an upstream when a restored store lists an earlier one

Cause: what an upstream says of itself (that it leaves, that it wants no requests) belongs to one start. A store that was restored from a copy listed the entry of an earlier start, of which nothing had been said, so that the upstream was used again until it had written its own entry.

A departure that the store knew also hides earlier starts that a copy lists. An entry that is written, rather than copied, is believed whatever its start, as clocks can be set back.

--- a/features/platform/restored_store.feature
+++ b/features/platform/restored_store.feature
@@ -136,6 +136,45 @@
     And 1 s passes
     Then the gateway has configuration 3 and uses "i-1 i-2"
 
+  # Guards against an upstream that is used because the copy has the entry of its earlier
+  # start, of which it has said nothing: pauses belong to a start, too.
+  Scenario Outline: What an upstream has said since it started again outlives <restore>
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And <gateway>
+    When the store is copied
+    And the store writes upstream "i-2" with the start 1800
+    And 1 s passes
+    And upstream "i-2" states that it leaves
+    And the store <restore>
+    And 1.5 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+    And the gateway knows upstream "i-2" with the start 1800
+    When the store writes upstream "i-2" with the start 1800
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1"
+    When the store writes upstream "i-2" with the start 900
+    And 1 s passes
+    Then the gateway has configuration 3 and uses "i-1 i-2"
+
+    Examples:
+      | gateway                        | restore                                       |
+      | a gateway that follows it      | comes back from the copy without notice       |
+      | a gateway that follows it      | is down for 2 s and comes back from the copy  |
+      | a gateway that follows a relay | is down for 2 s and comes back from the copy  |
+
+  # Guards against the same entry of an upstream that has left since it started again.
+  Scenario: An upstream that has started again and left since the copy is not used
+    Given a store with configuration 3 and upstreams "i-1 i-2"
+    And a gateway that follows it
+    When the store is copied
+    And the store writes upstream "i-2" with the start 1800
+    And 1 s passes
+    And the store removes upstream "i-2"
+    And 1 s passes
+    And the store is down for 2 s and comes back from the copy
+    And 1.5 s pass by
+    Then the gateway has configuration 3 and uses "i-1"
+
   # Guards against full reads without a pause if the store goes back and does not say so.
   Scenario: A store that goes back without a new generation is read with pauses
     Given a store with configuration 3 and upstreams "i-1 i-2"
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -95,3 +95,9 @@
 def step_calls_since_restore(context, limit):
     made = total_calls(context) - context.calls_at_restore
     assert made <= limit, made
+
+
+@then('the gateway knows upstream "{name}" with the start {born:d}')
+def step_known_start(context, name, born):
+    found = context.directory.upstreams_by_id("s")[name].incarnation
+    assert found == born, found
--- a/packages/banyanshelf-core/src/banyanshelf_core/known_departures.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/known_departures.py
@@ -55,6 +55,11 @@
     return stated.address == upstream.address
 
 
+def is_earlier_start(upstream: Upstream, known: Upstream) -> bool:
+    """Whether an upstream is an earlier incarnation of one that is known."""
+    return 0 < upstream.incarnation < known.incarnation
+
+
 def keep_newest(by_id: OrderedDict[UpstreamId, Upstream], upstream: Upstream) -> None:
     """Add an upstream as the newest one, and drop the oldest beyond the limit."""
     by_id.pop(upstream.id, None)
--- a/packages/banyanshelf-core/src/banyanshelf_core/listed_departures.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/listed_departures.py
@@ -4,7 +4,11 @@
 
 from collections import OrderedDict
 
-from banyanshelf_core.known_departures import is_same_start, keep_newest
+from banyanshelf_core.known_departures import (
+    is_earlier_start,
+    is_same_start,
+    keep_newest,
+)
 from banyanshelf_core.model import Upstream, UpstreamId, UpstreamState
 
 
@@ -42,7 +46,10 @@
         """Record an entry that a copy contains."""
         departed = self._departed_by_id.get(upstream.id)
         is_live = upstream.state is UpstreamState.LIVE
-        if is_live and departed is not None and is_same_start(departed, upstream):
+        has_departed = departed is not None and (
+            is_same_start(departed, upstream) or is_earlier_start(upstream, departed)
+        )
+        if is_live and has_departed:
             self._hidden_until_by_id[upstream.id] = now + self.entry_timeout_s
         else:
             self.note_written(upstream)
