Refuse answers without an HTTP status

Cause: the parser takes any three digits for a status. 000 and 099 were taken for interim answers: the body of such an answer became the beginning of the next answer's body, and a call or health check waited for its deadline. 600 to 999 were passed on to callers. The body of an interim answer was mixed into the final one in the same way.

Change: a status outside 100 to 599, or a body of an interim answer, is malformed: the connection is closed, a call is retried if that is safe or gets 502, and a health check fails. A malformed answer to a health check is a sign of life and marks no request.

--- a/features/daemon/upstream_answers.feature
+++ b/features/daemon/upstream_answers.feature
@@ -27,6 +27,16 @@
       | two lengths           | 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab                 |
       | length and chunks     | 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n |
       | another protocol      | 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n                 |
+      | status 000            | 000 Any\r\nContent-Length: 2\r\n\r\nok                                     |
+      | status 000 and chunks | 000 Any\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n          |
+      | status 000 at first   | 000 Any\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok |
+      | a status below 100    | 099 Any\r\nContent-Length: 2\r\n\r\nok                                     |
+      | a status above 599    | 600 Any\r\nContent-Length: 2\r\n\r\nok                                     |
+      | status 999            | 999 Any\r\nContent-Length: 2\r\n\r\nok                                     |
+      | a status of 4 digits  | 2000 Any\r\nContent-Length: 2\r\n\r\nok                                    |
+      | no status             | Any\r\nContent-Length: 2\r\n\r\nok                                         |
+      | a body of its interim answer | 103 Any\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok |
+      | chunks of its interim answer | 102 Any\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok |
       | a folded header line  | 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n                     |
 
   # Guards against an empty 200 in place of an answer that stopped in its head.
@@ -124,6 +134,12 @@
       | failed probe on a silent kept connection     | 1   | GET /a >> 200 ok >> cut_spare >> wait 0.1 >> probe >> silence >> wait 0.35 >> 200 ok | probe True |
       | wait of 1 s for a host that is down          | 1   | GET /a >> 200 ok >> cut_spare >> wait 0.1 >> probe >> silence >> refuse 1 >> wait 0.35 | probe False |
       | failed probe despite a 2xx answer            | 1   | probe >> 200 ok | probe True |
+      | retry after status 000 lost                  | 1   | POST /a >> 200 ok >> GET /a >> upstream HTTP/1.1 000 Any\r\nContent-Length: 2\r\n\r\nno | answer 503 unknown |
+      | successful probe with status 000             | 1   | probe >> upstream HTTP/1.1 000 Any\r\nContent-Length: 0\r\n\r\n | probe False |
+      | successful probe after status 000            | 1   | probe >> upstream HTTP/1.1 000 Any\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n | probe False |
+      | successful probe with an interim answer only | 1   | probe >> upstream HTTP/1.1 103 Any\r\n\r\n >> wait 1.1 | probe False |
+      | interim answer taken for the end of a call   | 1   | POST /a >> upstream HTTP/1.1 103 Any\r\n\r\n >> cut | answer 502 unknown |
+      | answer after an interim one without a body   | 1   | GET /a >> upstream HTTP/1.1 103 Any\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok | answer 200 ok |
       | successful probe with an error status        | 1   | probe >> 503 no | probe False |
       | successful probe with a cut answer           | 1   | probe >> cut | probe False |
       | successful probe after its timeout           | 1   | probe >> wait 1.1 | probe False |
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -143,6 +143,19 @@
     Then the service of the larger part has got 0.6 to 0.8 of the requests
     And every request of "shop" got 503 with a Retry-After
 
+  # Guards against a status outside 200 to 599 that reaches a client as an answer.
+  Scenario Outline: An answer with status <status> gives 502
+    When a client sends an unsafe request with 400 ms left
+    And the upstream answers "<status> mine"
+    Then the client gets 502
+    And 1 request has reached an upstream
+
+    Examples:
+      | status |
+      | 000    |
+      | 600    |
+      | 999    |
+
   # Guards against an upstream's error that is replaced by another one.
   Scenario: An upstream's error is passed on unchanged
     When a client sends an unsafe request with 400 ms left
--- a/features/steps/platform_call_steps.py
+++ b/features/steps/platform_call_steps.py
@@ -110,7 +110,7 @@
 
 def answer(status, body, request_id="mine", signature=SIGNATURE):
     return (
-        f"HTTP/1.1 {status} Any\r\n{ATTEMPT_ID}: {request_id}\r\n{signature}"
+        f"HTTP/1.1 {status:03d} Any\r\n{ATTEMPT_ID}: {request_id}\r\n{signature}"
         f"Content-Length: {len(body)}\r\n\r\n{body}"
     ).encode()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -9,7 +9,11 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
-from banyanshelf_core.errors import RequestError, UpstreamError
+from banyanshelf_core.errors import (
+    RequestError,
+    UpstreamAnswerError,
+    UpstreamError,
+)
 from banyanshelf_core.matching import RequestMatcher, RouteDecision
 from banyanshelf_core.model import Outcome, Upstream
 from banyanshelf_daemon.call_services import CallServices
@@ -271,7 +275,8 @@
         self._finish(200 <= self._status < 300)
 
     def answer_failed(self, error: UpstreamError) -> None:
-        """Fail the probe."""
+        """Fail the probe; bytes that are no answer still show a sign of life."""
+        self._is_answered = isinstance(error, UpstreamAnswerError)
         self._finish(False)
 
     def _send_on_new_connection(self) -> None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/upstream_client.py
@@ -25,6 +25,9 @@
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
 # Trailers, chunk sizes and their extensions, without any byte of the body between them.
 MAX_FRAMING_BYTES = 64 * 1024
+# RFC 9110, section 15; the parser accepts any three digits.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Assumed for an upstream that announces no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 60.0
 # A connection is not used in the last fifth of its idle timeout: a request would still
@@ -209,9 +212,8 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
+        _check_status(status)
         if status < 200:
-            if status == 101:
-                raise ValueError("the upstream switched protocols")
             self._is_interim = True
             self._headers = []
             return
@@ -246,6 +248,9 @@
         """Buffer a part of the body (called by httptools)."""
         if self._is_for_other_request:
             return
+        if self._is_interim:
+            # It would become the beginning of the answer's body.
+            raise ValueError("an interim answer has a body")
         if self._is_complete:
             self._has_surplus_bytes = True
             return
@@ -317,3 +322,10 @@
         self.close()
         if receiver is not None:
             receiver.answer_failed(UpstreamAnswerError(detail))
+
+
+def _check_status(status: int) -> None:
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise ValueError(f"the answer has no HTTP status: {status:03d}")
+    if status == 101:
+        raise ValueError("the upstream switched protocols")
