--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -42,6 +42,21 @@
     return ActiveText(7, "digest", parse_text(text))
 
 
+def workspaces_text(words):
+    """Return the lines that give keys to workspaces.
+
+    Example: ``one=k-1,k-2 two= three=k-3@1``, with priority 1 for the last one.
+    """
+    lines = ["[workspaces]"]
+    for word in words.split():
+        name, _, rest = word.partition("=")
+        keys, _, priority = rest.partition("@")
+        listed = [each for each in keys.split(",") if each]
+        rank = f", priority = {priority}" if priority else ""
+        lines.append(f"{name} = {{ keys = {listed}{rank} }}")
+    return "\n".join(lines)
+
+
 class _Transport(StringTransport):
     """Keeps the written bytes; closes in the reactor iteration after the request to."""
 
@@ -64,6 +79,13 @@
     def loseConnection(self):  # noqa: N802
         self.reactor.callLater(0, self.cut, ConnectionDone())
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.cut(reason.value)
+
+    def loseWriteConnection(self):  # noqa: N802
+        # The other end closes once it has read everything.
+        self.loseConnection()
+
     def abortConnection(self):  # noqa: N802
         self.was_aborted = True
         self.reactor.callLater(0, self.cut, ConnectionAborted())
--- a/packages/banyanshelf-core/src/banyanshelf_core/text.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/text.py
@@ -28,6 +28,7 @@
     host_name,
     normalize_path,
 )
+from banyanshelf_core.workspace_text import check_workspaces
 
 PolicyName = Literal["permits", "random", "two_choices", "reports", "shared_load"]
 
@@ -56,7 +57,8 @@
     ``caller_weights`` are the weights of calling services in sharing this service;
     other callers have a weight of 1. A cold upstream takes at most
     ``cold_requests_per_s`` from all gateways together, for ``cold_s`` after its start;
-    0 means that there is no such limit.
+    0 means that there is no such limit. With ``wait_for_room``, calls wait for a free
+    slot as long as they can be answered in time; under the policy ``shared_load`` only.
     """
 
     hosts: list[str] = []
@@ -76,6 +78,7 @@
     probe_path: str = ""
     cold_s: float = 0.0
     cold_requests_per_s: float = 0.0
+    wait_for_room: bool = False
     routes: list[Route] = []
 
 
@@ -138,6 +141,10 @@
     requests_per_s: float = 0.0
     burst: float = 0.0
 
+    def __repr__(self) -> str:
+        """Return a description without the keys, as it may be logged."""
+        return f"Workspace(<{len(self.keys)} keys>)"
+
 
 class Measuring(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Budgets for probes and for control traffic.
@@ -175,7 +182,7 @@
     """The whole operators' text.
 
     Without ``workspaces``, requests need no key. An empty table admits those of
-    anonymous routes only.
+    anonymous routes only. Upstreams of ``evacuated_zones`` get no requests.
     """
 
     policy: PolicyName = "permits"
@@ -185,6 +192,7 @@
     services: dict[str, Service]
     routes: list[EntryRoute] = []
     workspaces: dict[str, Workspace] | None = None
+    evacuated_zones: list[str] = []
 
 
 def parse_text(content: str) -> OperatorText:
@@ -217,7 +225,7 @@
         _check_service(name, service, text.services)
     _check_no_shared_match(text.services)
     _check_entry_routes(text)
-    _check_workspaces(text.workspaces or {})
+    check_workspaces(text.workspaces or {})
     _check_acyclic(text.services)
 
 
@@ -336,11 +344,11 @@
                 f"path prefix {route.path_prefix!r} has no leading slash",
                 "start it with /",
             )
-        if route.timeout_ms < 1 or route.max_attempts < 1:
+        if route.timeout_ms < 1 or route.max_attempts < 1 or route.priority < 0:
             raise TextError(
                 where,
-                "timeout_ms and max_attempts must be positive",
-                "write at least 1",
+                "timeout_ms and max_attempts must be positive, priority not negative",
+                "write at least 1, or 0 for the highest priority",
             )
         if route.split and (
             min(part.weight for part in route.split) < 0
@@ -360,28 +368,6 @@
                 )
 
 
-def _check_workspaces(workspaces: dict[str, Workspace]) -> None:
-    owner_by_key: dict[str, str] = {}
-    for name, workspace in workspaces.items():
-        where = f"workspaces.{name}"
-        for key in workspace.keys:
-            # The message must not repeat the key, as it is logged.
-            if not key:
-                raise TextError(where, "a key is empty", "remove it")
-            if owner_by_key.setdefault(key, name) != name:
-                raise TextError(
-                    where,
-                    f"workspace {owner_by_key[key]!r} has one of its keys",
-                    "give each key to one workspace",
-                )
-        if workspace.requests_per_s < 0 or workspace.burst < 0:
-            raise TextError(
-                where,
-                "requests_per_s and burst must not be negative",
-                "write 0 for no quota",
-            )
-
-
 def _check_acyclic(services: dict[str, Service]) -> None:
     finished: set[str] = set()
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -17,10 +17,10 @@
 from banyanshelf_core.matching import RequestMatcher, RouteDecision
 from banyanshelf_core.model import Outcome, Upstream
 from banyanshelf_daemon.call_services import CallServices
-from banyanshelf_daemon.caller_server import Exchange
 from banyanshelf_daemon.claimed_call import ClaimedCall
 from banyanshelf_daemon.decision_log import DecisionLog
 from banyanshelf_daemon.dialect import Dialect, Refusal
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import AnswerHead, Request
 from banyanshelf_daemon.interfaces import (
     ActiveText,
@@ -41,7 +41,7 @@
 # A kept connection may have gone silent without its upstream. After this time the probe
 # is sent on a new one, which also shows soon whether the host is down.
 KEPT_PROBE_TIMEOUT_S = 0.3
-# Retry-After until the first configuration text has arrived from the store or a peer.
+# Retry-After until a configuration text has arrived from the store or a peer.
 STARTUP_RETRY_AFTER_S = 1.0
 
 
@@ -112,17 +112,26 @@
             context = self.services.dialect.context(
                 request, is_trusted=trust_internal_headers
             )
-            route = self._matcher_for(active).match(
+            matched = self._matcher_for(active).match(
                 request.host, request.path, request.method, request.value_by_name
             )
+            route = self.services.with_workspace(active, matched, request, context)
             if not route.idempotent:
                 _check_key(request, route)
         except RequestError as error:
-            self._answer_refusal(exchange, error, request_id)
+            retry_after_s = STARTUP_RETRY_AFTER_S if error.status == 503 else None
+            self._answer_refusal(exchange, error, request_id, retry_after_s)
             return
         call_type = RunningCall if route.key is None else ClaimedCall
         call = call_type(
-            self.services, request, exchange, route, active, context, request_id
+            self.services,
+            request,
+            exchange,
+            route,
+            active,
+            context,
+            request_id,
+            matched,
         )
         exchange.call = call
         if call.deadline > self.services.stops_at:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from banyanshelf_core.caller_waits import CallerWaitEstimator
-from banyanshelf_core.errors import RequestLimitError, RetryAfterError
+from banyanshelf_core.errors import RequestError, RequestLimitError, RetryAfterError
+from banyanshelf_core.matching import RouteDecision
 from banyanshelf_core.model import Upstream, UpstreamId
 from banyanshelf_core.retry import RetryPolicy
 from banyanshelf_core.retry_after import (
@@ -18,10 +19,11 @@
     parse_retry_after,
 )
 from banyanshelf_core.text import Protection, Service
+from banyanshelf_core.workspaces import WorkspaceKeys
 from banyanshelf_daemon.crash_sharing import CrashSharing
 from banyanshelf_daemon.decision_log import DecisionLog
-from banyanshelf_daemon.dialect import Dialect, NativeDialect
-from banyanshelf_daemon.http_message import Answer, AnswerHead
+from banyanshelf_daemon.dialect import CallContext, Dialect, NativeDialect
+from banyanshelf_daemon.http_message import Answer, AnswerHead, Request
 from banyanshelf_daemon.interfaces import (
     ActiveText,
     ClaimService,
@@ -109,6 +111,7 @@
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
+        self._note_cold = getattr(permits, "note_cold", None)
         self._note_pause = getattr(permits, "note_pause", None)
         self._pauses = UpstreamPauses()
         self._rng = rng
@@ -117,12 +120,40 @@
         self._check_health = getattr(permits, "check_health", None)
         self._heard_at = getattr(permits, "heard_at", None)
         self._sweep_call: Any = None
+        # Whether a key that was taken away some time ago would be refused by now
+        self.are_keys_current: Callable[[], bool] = lambda: True
+        self._keys: WorkspaceKeys | None = None
+        self._keys_text: ActiveText | None = None
         directory.on_upstreams_change(self._drop_unknown_pools)
 
     def active(self) -> ActiveText | None:
         """Return the active configuration text."""
         return self._configuration.active()
 
+    def with_workspace(
+        self,
+        active: ActiveText,
+        route: RouteDecision,
+        request: Request,
+        context: CallContext,
+    ) -> RouteDecision:
+        """Return the route with the workspace of the request, by the active text.
+
+        Raises :class:`RequestError` with 401 if the request needs a key and its own is
+        unknown, and with 503 if its key may have been taken away since.
+        """
+        if self._keys is None or self._keys_text is not active:
+            self._keys = WorkspaceKeys.from_text(active.text)
+            self._keys_text = active
+        if context.is_backend_server:
+            return self._keys.assign(route, context.workspace)
+        route = self._keys.admit(route, self.dialect.workspace_key(request))
+        if route.workspace and not self.are_keys_current():
+            raise RequestError(
+                503, "this gateway cannot tell whether the key is still valid"
+            )
+        return route
+
     def state_for(self, service_name: str, service: Service) -> ServiceState:
         """Return the state of a service; changed settings start a new retry budget."""
         state = self._state_by_service.get(service_name)
@@ -203,6 +234,7 @@
         self._note_limit(upstream_id, head)
         self._note_load(upstream_id, head)
         self._read_pause(upstream, head)
+        self._read_cold(upstream, head)
         if self.dialect.is_draining(head):
             self.metrics.count("signal.draining")
             self._directory.report_leaving(upstream_id, "draining")
@@ -223,6 +255,11 @@
         if self._note_pause is not None:
             self._note_pause(upstream, pause_s)
 
+    def _read_cold(self, upstream: Upstream, head: AnswerHead) -> None:
+        cold_s = self.dialect.cold_s(head)
+        if cold_s is not None and self._note_cold is not None:
+            self._note_cold(upstream, cold_s)
+
     def paused_for_s(self, upstream: Upstream) -> float:
         """Return for how long an upstream has asked this gateway for no requests."""
         return max(0.0, self._pauses.until(upstream) - self.now())
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -13,6 +13,8 @@
 from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RequestMatcher
 from banyanshelf_core.model import Member, Upstream, UpstreamState
+from banyanshelf_core.request_memory import RequestMemory
+from banyanshelf_core.workspace_text import without_keys
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -92,8 +94,16 @@
             self.log,
             self.metrics,
         )
-        self._caller_factory = CallerServerFactory(self.handler, settings, False)
-        self._service_factory = CallerServerFactory(self.handler, settings, True)
+        memory = RequestMemory(settings.request_memory_bytes)
+        self.metrics.gauge("request_memory.bytes", lambda: memory.held_bytes)
+        self.metrics.gauge("request_memory.refused", lambda: memory.refused_count)
+        self.metrics.gauge("request_memory.displaced", lambda: memory.displaced_count)
+        self._caller_factory = CallerServerFactory(
+            self.handler, settings, False, memory
+        )
+        self._service_factory = CallerServerFactory(
+            self.handler, settings, True, memory
+        )
         self._ports: list[Any] = []
         self._caller_listeners: list[CallerListener] = []
 
@@ -174,7 +184,13 @@
         return self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host)
 
     def _on_text_adopted(self, active: ActiveText) -> None:
-        self.log.event("text adopted", version=active.version, digest=active.digest)
+        self.log.event(
+            "text adopted",
+            version=active.version,
+            digest=active.digest,
+            evacuated_zones=active.text.evacuated_zones,
+        )
+        self.directory.set_evacuated_zones(active.text.evacuated_zones)
         if self.lifecycle.state_name() == "starting":
             self.lifecycle.ready()
 
@@ -224,7 +240,7 @@
         active = self.cluster.active()
         if active is None:
             return {"version": 0, "digest": "", "text": None}
-        return active._asdict()
+        return {**active._asdict(), "text": without_keys(active.text)}
 
     def _explain(self, host: str, path: str, method: str) -> dict[str, Any]:
         active = self.cluster.active()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -14,7 +14,11 @@
 from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
 from banyanshelf_daemon.call_results import DEFAULT_RETRY_AFTER_S, ResolvableCall
 from banyanshelf_daemon.http_message import Answer, AnswerHead, header_value
-from banyanshelf_daemon.interfaces import NotAdmittedError, Permit
+from banyanshelf_daemon.interfaces import (
+    NotAdmittedError,
+    Permit,
+    QuotaExceededError,
+)
 from banyanshelf_daemon.problem import PROXY_NAME
 
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
@@ -127,10 +131,13 @@
 
     def _admitted(self, permit: Permit) -> None:
         self._pending_permit = None
+        self._is_counted = True
         # Crashes may have been noticed while the call waited.
         if self.is_over or self._is_quarantined():
             self.release_unused(permit)
             return
+        if self._has_lost_key(permit):
+            return
         if not self._has_attempts_left():
             # A hedged attempt was sent meanwhile, and it is in progress.
             self.release_unused(permit)
@@ -171,6 +178,7 @@
             self.serialized_request(upstream.id),
             is_head=self.request.method == "HEAD",
             rules=services.dialect.answer_rules(self.request, self.request_id),
+            body=self.request.body,
         )
 
     def _not_admitted(self, failure: DeferredFailure) -> None:
@@ -180,6 +188,15 @@
         if self._fallback_answer is not None:
             self._finish_fallback(self._fallback_answer)
             return
+        if isinstance(failure.value, QuotaExceededError):
+            # Nothing was sent: only the first permit of a call draws on the quota.
+            self.finish_problem(
+                429,
+                str(failure.value),
+                "http_request_denied",
+                failure.value.retry_after_s,
+            )
+            return
         retry_after_s = DEFAULT_RETRY_AFTER_S
         if isinstance(failure.value, NotAdmittedError):
             retry_after_s = failure.value.retry_after_s
@@ -285,6 +302,8 @@
         reason = ""
         if self._left_quarantine_s() is not None:
             reason = "the request has crashed upstreams"
+        elif self.key_problem() is not None:
+            reason = "the key of the request was taken away"
         elif not self._has_attempts_left():
             reason = "all attempts were made meanwhile"
         elif self._is_used(permit):
@@ -317,6 +336,32 @@
             "no second attempt", request_id=self.request_id, reason=reason
         )
 
+    def _has_lost_key(self, permit: Permit) -> bool:
+        """Whether the key has changed hands since; the permit is released then.
+
+        Texts may have come into effect while the call waited for the permit.
+        """
+        workspace = self.workspace
+        problem = self.key_problem()
+        if problem is None and self.workspace == workspace:
+            return False
+        self.release_unused(permit)
+        if problem is None:
+            # The permit has drawn on the quota of the former workspace.
+            self._is_counted = self._attempt_count > 0
+            self.admit()
+        elif self._fallback_answer is not None:
+            self._finish_fallback(self._fallback_answer)
+        elif not self._attempts:
+            self.services.metrics.count(f"request.refused.{problem.status}")
+            self.finish_problem(
+                problem.status,
+                problem.detail,
+                "http_request_denied",
+                DEFAULT_RETRY_AFTER_S if problem.status == 503 else None,
+            )
+        return True
+
     def _wants_no_requests(self, permit: Permit) -> bool:
         """Whether the upstream of a permit is in a pause; it is not tried again then.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -34,10 +34,12 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
+from banyanshelf_core.quota_bank import QuotaTerms
 from banyanshelf_core.replica import StorePosition
 from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.background import PeriodicTask
 from banyanshelf_daemon.call_placer import CallPlacer, Reservation
+from banyanshelf_daemon.call_queue import CallQueues
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.health_questions import HealthProber
 from banyanshelf_daemon.interfaces import (
@@ -46,9 +48,12 @@
     Permit,
     PermitRequest,
     ProbeSender,
+    QuotaExceededError,
     UpstreamDirectory,
 )
 from banyanshelf_daemon.load_sharing import LoadSharing
+from banyanshelf_daemon.metrics import Metrics
+from banyanshelf_daemon.quota_limiter import QuotaLimiter
 from banyanshelf_daemon.remote_placement import (
     NoPlacementError,
     PlacementClient,
@@ -100,11 +105,13 @@
 
 
 class SharedAdmission:
-    """Implements ``PermitService``; calls are placed or refused without a queue.
+    """Implements ``PermitService``; calls are placed, refused or wait for room.
 
-    In a large zone the aggregator places the calls of all gateways. ``probe`` sends a
-    health probe; see :class:`~.health_questions.HealthProber`. ``store_state`` is
-    described at :class:`~.load_sharing.LoadSharing`.
+    Calls wait only for the services whose configuration asks for it. In a large zone
+    the aggregator places the calls of all gateways. ``probe`` sends a health probe; see
+    :class:`~.health_questions.HealthProber`. ``store_state`` is described at
+    :class:`~.load_sharing.LoadSharing`, ``quota_clock`` at
+    :class:`~.quota_keeper.QuotaKeeper`.
     """
 
     def __init__(
@@ -117,18 +124,29 @@
         rng: random.Random,
         probe: ProbeSender,
         store_state: Callable[[], tuple[StorePosition, float]],
+        quota_terms: QuotaTerms | None = None,
+        quota_clock: Callable[[], float] | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._reactor = reactor
         self._directory = directory
         self.loads = ServiceLoads(reactor, zone, configuration, directory, rng)
         self._pause_handlers: list[Callable[[Upstream, float], None]] = []
+        self._cold_handlers: list[Callable[[Upstream, float], None]] = []
         self._call_by_number: dict[int, _CallInProgress] = {}
         # When the calls that need a second attempt were last notified
         self._notified_at_by_number: dict[int, float] = {}
         # A restarted gateway must not reuse the call numbers of its previous run.
         self._last_number = rng.getrandbits(CALL_NUMBER_BITS)
         self._aggregator_placed_by_upstream: Counter[UpstreamId] = Counter()
-        self._sharing = LoadSharing(reactor, gossip, self.loads, self, store_state)
+        self._sharing = LoadSharing(
+            reactor,
+            gossip,
+            self.loads,
+            self,
+            store_state,
+            lambda: self._queues.is_used(),
+        )
         self._client = PlacementClient(reactor, gossip)
         self._client.on_late_answer(
             lambda number: self._sharing.publish_call_end(
@@ -136,7 +154,11 @@
             )
         )
         self._server = PlacementServer(
-            reactor, gossip, self._place_for_peer, self.release
+            reactor,
+            gossip,
+            self._place_for_peer,
+            self.release,
+            lambda service_name: self._queues.is_enabled(service_name),
         )
         gossip.on_datagram(LateCallNotice, self._on_call_late)
         self._limiter = RequestLimiter(reactor, gossip, self.loads, rng)
@@ -144,6 +166,23 @@
             reactor, zone, self.loads, self._sharing, gossip, self._limiter, probe
         )
         self._placer = CallPlacer(reactor, self._prober, self._limiter)
+        self._queues = CallQueues(
+            reactor,
+            self._placer,
+            self.loads,
+            configuration,
+            rng,
+            metrics or Metrics(reactor),
+        )
+        self.quotas = QuotaLimiter(
+            reactor,
+            gossip,
+            configuration,
+            quota_terms or QuotaTerms(),
+            lambda: self._sharing.aggregator,
+            rng,
+            quota_clock,
+        )
         self._ticker = PeriodicTask(reactor, self._tick, "admission")
 
     def start(self) -> None:
@@ -151,11 +190,15 @@
         self.loads.start()
         self._ticker.start(TICK_INTERVAL_S)
         self._sharing.start()
+        self.quotas.start()
 
     def stop(self) -> None:
         """Stop the periodic tasks."""
         self._ticker.stop()
         self._sharing.stop()
+        self._queues.stop()
+        self._server.stop()
+        self.quotas.stop()
 
     def announce_departure(self) -> None:
         """Tell the other gateways that this one is shutting down."""
@@ -202,9 +245,13 @@
         number = self._last_number
 
         def place_here() -> Deferred[Permit]:
-            return self._place(service_name, selector, placement_request, on_late)
+            return self._place(
+                service_name, selector, placement_request, on_late, may_wait=False
+            )
 
         def placed(answer: PlacementReply) -> Permit | Deferred[Permit]:
+            if answer.is_over_quota:
+                raise QuotaExceededError(answer.reason, answer.retry_after_s)
             if not answer.upstream:
                 raise NotAdmittedError(answer.reason, answer.retry_after_s)
             upstream = self._directory.upstreams_by_id(service_name).get(
@@ -215,7 +262,9 @@
             is_live = upstream is not None and upstream.state is UpstreamState.LIVE
             if upstream is None or not is_live or is_paused:
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
-                return place_here()
+                # The aggregator has counted the call.
+                counted = placement_request._replace(counts_toward_quota=False)
+                return self._place(service_name, selector, counted, on_late)
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
             attempt = _running_attempt(upstream.id, progress_s, placement_request)
@@ -260,8 +309,14 @@
         selector: PlacementSelector,
         placement_request: PlacementRequest,
         on_late: Callable[[], None] | None,
+        *,
+        may_wait: bool = True,
     ) -> Deferred[Permit]:
-        """Place a call by this gateway's own load data."""
+        """Place a call by this gateway's own load data.
+
+        Without ``may_wait``, it is placed or refused at once: a gateway that cannot ask
+        the aggregator does not know who else waits.
+        """
 
         def placed(reservation: Reservation) -> Permit:
             found, progress_s = reservation
@@ -283,7 +338,19 @@
                 _basis(found),
             )
 
-        return self._placer.place(selector, placement_request).addCallback(placed)
+        def refused(failure: Failure) -> Failure:
+            self.quotas.give_back(placement_request)
+            return failure
+
+        def place(_admitted: None) -> Deferred[Permit]:
+            if may_wait and self._queues.is_enabled(service_name):
+                placing = self._queues.place(service_name, selector, placement_request)
+            else:
+                placing = self._placer.place(selector, placement_request)
+            return placing.addCallbacks(placed, refused)
+
+        admission = self.quotas.admit(placement_request)
+        return place(None) if admission is None else admission.addCallback(place)
 
     def release(self, permit: Permit, sample: AnswerSample) -> None:
         """Count the end of a call; further releases have no effect."""
@@ -298,6 +365,7 @@
         now = self._reactor.seconds()
         attempt = running.attempt
         selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
+        self._queues.room_freed(running.service_name)
         if running.is_placed_by_aggregator:
             self._aggregator_placed_by_upstream[sample.upstream] -= 1
             if not self._aggregator_placed_by_upstream[sample.upstream]:
@@ -345,6 +413,16 @@
             for handler in self._pause_handlers:
                 handler(upstream, pause_s)
 
+    def note_cold(self, upstream: Upstream, cold_s: float) -> None:
+        """Record for how long an upstream is cold, by its answer; 0 if it is not."""
+        if self.loads.note_cold(upstream, cold_s) and cold_s:
+            for handler in self._cold_handlers:
+                handler(upstream, cold_s)
+
+    def on_stated_cold(self, handler: Callable[[Upstream, float], None]) -> None:
+        """Call ``handler`` when an upstream states to this gateway that it is cold."""
+        self._cold_handlers.append(handler)
+
     def on_stated_pause(self, handler: Callable[[Upstream, float], None]) -> None:
         """Call ``handler`` with each pause that an upstream states to this gateway."""
         self._pause_handlers.append(handler)
