--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -103,6 +103,7 @@
       | 1 | POST /a bad >> silence >> wait 2.1 >> refuse 1 >> GET /b |
       | 1 | GET /a >> silence >> wait 0.5 >> gone >> another >> probe >> wait 1.1 |
       | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> upstream HTTP/1.1 000 Any\r\n\r\n |
       | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 503 ill |
       | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok >> probe >> wait 1.1 |
       | 0 | warm >> GET /a >> silence >> wait 0.02 >> 200 ok >> probe >> wait 1.1 |
