Give the requests between simulated mirrors header fields

Change: the stand-in has an empty mapping, as a request without that field.

Conclusion: no check has changed.

--- a/features/steps/restored_fleet.py
+++ b/features/steps/restored_fleet.py
@@ -91,7 +91,7 @@
             raise StoreUnavailableError("unreachable")
         exchange = _Exchange()
         request = SimpleNamespace(
-            path=path, target=f"{path}?{urlencode(query)}".encode()
+            path=path, target=f"{path}?{urlencode(query)}".encode(), value_by_name={}
         )
         target.mirror.start(request, exchange, trust_internal_headers=False)
         timer = reactor.callLater(timeout_s, exchange.answer, None)
