Keep refused callers away while new ones use the quota

The callers that returned took what new ones could still have used in time. After a restart of all gateways, calls were refused until their banks had settled.

Change: callers return when the quota has room beyond what new ones ask for, at most one window later. Calls wait until gateways that have just started have met. Banks of such gateways gain at once, and all banks start with a fifth of the excess.

--- a/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
@@ -33,7 +33,7 @@
 # batches, and for banks that are replaced within one window.
 EXTRA_RATE_SHARE = 0.45
 EXTRA_BURST_SHARE = 0.2
-START_SHARE = 0.125
+START_SHARE = 0.2
 # A bank that has lent much may still gain what its share of the quota gives in this
 # time.
 MIN_CAPACITY_S = 0.25
@@ -80,6 +80,8 @@
     bucket: TokenBucket
     demand_per_s: float = 0.0
     demand_at: float = -math.inf
+    # The same over a window of the quota
+    window_demand_per_s: float = 0.0
     lent: deque[tuple[float, int]] = field(default_factory=deque)
     borrowed: int = 0
     borrowed_until: float = -math.inf
@@ -154,7 +156,7 @@
         account = self._account(now, name)
         if account is None:
             return True
-        _note_demand(now, account, 1)
+        self._note_demand(now, account, 1)
         return _spend(account, 1)
 
     def take_again(self, now: float, name: WorkspaceName) -> bool:
@@ -165,14 +167,16 @@
     def return_in_s(self, now: float, name: WorkspaceName) -> float:
         """Return when a caller that is refused now should return, in seconds.
 
-        Each caller gets a time of its own at which the quota has room.
+        Each caller gets a time of its own at which the quota has room beyond what new
+        callers ask for. If they ask for all of it, that is one window later.
         """
         account = self._account(now, name)
         if account is None:
             return 0.0
-        per_s = account.granted.per_s * self._share
         window_s = self._terms.window_s
-        gap_s = min(window_s, 1 / per_s) if per_s > 0 else window_s
+        asked_per_s = _window_demand(now, account, window_s)
+        spare_per_s = account.granted.per_s * self._share - asked_per_s
+        gap_s = min(window_s, 1 / spare_per_s) if spare_per_s > 0 else window_s
         account.returns_at = min(now + window_s, max(now, account.returns_at) + gap_s)
         return account.returns_at - now
 
@@ -183,7 +187,7 @@
             capacity = self._capacity(now, account)
             available = account.bucket.available
             account.bucket.available = max(available, min(capacity, available + count))
-            _note_demand(now, account, -count)
+            self._note_demand(now, account, -count)
 
     def lend_to_zone(
         self, now: float, name: WorkspaceName, wanted: int, valid_s: float
@@ -208,7 +212,7 @@
         account = self._account(now, name)
         if account is None:
             return 0
-        _note_demand(now, account, wanted)
+        self._note_demand(now, account, wanted)
         count = min(wanted, math.ceil(math.floor(_left(account)) / 2))
         _spend(account, count)
         return count
@@ -243,6 +247,14 @@
         needed = LOOKAHEAD_S * _demand(now, account)
         return _left(account) < needed and needed >= 1
 
+    def _note_demand(self, now: float, account: _Account, count: int) -> None:
+        window_s = self._terms.window_s
+        in_window = _window_demand(now, account, window_s) + count / window_s
+        in_decay = _demand(now, account) + count / DEMAND_DECAY_S
+        account.window_demand_per_s = max(0.0, in_window)
+        account.demand_per_s = max(0.0, in_decay)
+        account.demand_at = now
+
     def _account(self, now: float, name: WorkspaceName) -> _Account | None:
         account = self._accounts.get(name)
         if account is None:
@@ -284,10 +296,10 @@
     return account.demand_per_s * math.exp(-age_s / DEMAND_DECAY_S)
 
 
-def _note_demand(now: float, account: _Account, count: int) -> None:
-    demand_per_s = _demand(now, account) + count / DEMAND_DECAY_S
-    account.demand_per_s = max(0.0, demand_per_s)
-    account.demand_at = now
+def _window_demand(now: float, account: _Account, window_s: float) -> float:
+    """Return the requests per second that were asked for over about one window."""
+    age_s = now - account.demand_at
+    return account.window_demand_per_s * math.exp(-age_s / window_s)
 
 
 def _left(account: _Account) -> float:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
@@ -80,7 +80,8 @@
         self._exchange = exchange
         self._rng = rng
         self._clock = clock
-        self._settled_at = clock() + SETTLE_TIME_S
+        self._started_at = clock()
+        self._settled_at = self._started_at + SETTLE_TIME_S
         self._beat_at = clock()
         self.quotas: Mapping[WorkspaceName, Quota] = {}
         self._bank: QuotaBank | None = None
@@ -153,7 +154,9 @@
                 self._bank = None
         elif self._bank is None:
             log.info("this gateway keeps the quotas of the zone now")
-            self._bank = self.new_bank(now + HANDOVER_S, self._share())
+            # Gateways that have just started settle instead.
+            handover_s = HANDOVER_S if now >= self._started_at + SETTLE_TIME_S else 0.0
+            self._bank = self.new_bank(now + handover_s, self._share())
         return self._bank
 
     def new_bank(
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from logbook import Logger
-from twisted.internet.defer import Deferred, fail
+from twisted.internet.defer import Deferred, fail, succeed
 
 from banyanshelf_core.limit_keeper import ASSUMED_ZONE_MEMBERS
 from banyanshelf_core.model import Member, WorkspaceName
@@ -102,10 +102,9 @@
         now = self._clock()
         bank = self.keeper.bank(now)
         if bank is None:
-            return self._take_from_batch(now, name)
-        settling_s = self.keeper.settling_s(now)
-        if settling_s:
-            return fail(self._refusal(name, settling_s))
+            return self._take_from_batch(now, request)
+        if self.keeper.settling_s(now):
+            return Deferred.fromCoroutine(self._take_when_settled(request))
         if bank.take(now, name):
             return None
         if self.keeper.is_dry(now, name):
@@ -124,6 +123,12 @@
         else:
             self._batches.give_back(now, name)
 
+    async def _take_when_settled(self, request: PlacementRequest) -> None:
+        """Let a call wait until the gateways that have just started have met."""
+        while settling_s := self.keeper.settling_s(self._clock()):
+            await self._tasks.sleep(min(settling_s, TICK_S))
+        await (self.admit(request) or succeed(None))
+
     async def _take_after_loan(self, name: WorkspaceName) -> None:
         await self.keeper.loan(name)
         now = self._clock()
@@ -136,16 +141,18 @@
     # Batches
 
     def _take_from_batch(
-        self, now: float, name: WorkspaceName
+        self, now: float, request: PlacementRequest
     ) -> Deferred[None] | None:
+        name = request.workspace
         if self._batches.take(now, name):
             return None
         wait_s = self._batches.refused_for_s(now, name)
         if wait_s:
             return fail(self._refusal(name, wait_s))
-        return Deferred.fromCoroutine(self._take_after_draw(name))
+        return Deferred.fromCoroutine(self._take_after_draw(request))
 
-    async def _take_after_draw(self, name: WorkspaceName) -> None:
+    async def _take_after_draw(self, request: PlacementRequest) -> None:
+        name = request.workspace
         waiting: Deferred[None] = Deferred()
         if name in self._waiting_by_workspace:
             self._waiting_by_workspace[name].append(waiting)
@@ -159,6 +166,9 @@
         now = self._clock()
         if self._batches.take_again(now, name):
             return
+        if self.keeper.settling_s(now):
+            await self._take_when_settled(request)
+            return
         wait_s = self._batches.refused_for_s(now, name)
         if wait_s:
             raise self._refusal(name, wait_s)
@@ -206,12 +216,17 @@
         _, grant = result.grants[0]
         if grant.zone:
             self._allotment = None
+        is_settling = self.keeper.settling_s(now) > 0
         for name in wanted:
             count = grant.granted.get(name, 0)
             if count:
                 expires_at = result.sent_at + grant.valid_s
                 self._batches.add(now, name, count, expires_at)
-            elif name in grant.waits and self._waiting_by_workspace[name]:
+            elif (
+                name in grant.waits
+                and self._waiting_by_workspace[name]
+                and not is_settling
+            ):
                 # A batch that nobody waits for may have been refused for others' sake.
                 wait_s = grant.waits[name]
                 self._batches.note_refusal(now, name, REFUSAL_HOLD_S, wait_s)
