Keep a scarce quota for calls that can be in time

Change: while a workspace is over its quota, calls past their target are refused. The fleet scenarios use 30 gateways instead of 40, which are still large zones.

--- a/features/daemon/quotas.feature
+++ b/features/daemon/quotas.feature
@@ -16,7 +16,7 @@
     Examples:
       | gateways | seconds | datagrams |
       | 13       | 6       | 250       |
-      | 40       | 6       | 250       |
+      | 30       | 6       | 250       |
 
   # Guards against datagrams that grow with the fleet.
   Scenario: In 312 gateways, quotas take no more datagrams
@@ -45,11 +45,26 @@
     Examples:
       | gateways | event                                           |
       | 13       | the gateways that keep the quotas are killed    |
-      | 40       | the gateways that keep the quotas are killed    |
+      | 30       | the gateways that keep the quotas are killed    |
       | 13       | the gateways that keep the quotas are cut off   |
-      | 40       | the gateways that keep the quotas are cut off   |
+      | 30       | the gateways that keep the quotas are cut off   |
       | 13       | all gateways are restarted at once              |
-      | 40       | all gateways are restarted at once              |
+      | 30       | all gateways are restarted at once              |
+
+  # Guards against callers that have returned too late and take what others could use.
+  Scenario Outline: A workspace over its quota sends calls that can be in time
+    Given <gateways> gateways in 3 zones with 6 workspaces of 20 requests a second
+    When one workspace makes 150 requests a second and the others 15 for 4 s
+    And half of the calls are past their target
+    And one workspace makes 150 requests a second and the others 15 for 4 s
+    Then that workspace has sent at least 85 % of what its quota allows
+    And at most 10 % of what it has sent was past its target
+    And no request of the other workspaces is refused
+
+    Examples:
+      | gateways |
+      | 13       |
+      | 30       |
 
   # Guards against permissions that outlive a pause of the process or its host.
   Scenario: A gateway that was paused uses nothing it was granted before
--- a/features/steps/quota_fleet.py
+++ b/features/steps/quota_fleet.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter, defaultdict
 
-from simulated_admissions import STEP_S, AdmissionZone
+from simulated_admissions import STEP_S, TARGET_S, AdmissionZone
 from simulated_gossip import LoadZone
 
 from banyanshelf_core.datagrams import QuotaDraw, QuotaGrant
@@ -19,6 +19,8 @@
 SLOTS = 12
 CALL_S = 0.05
 START_S = 4.0
+# The target has passed.
+LATE_TARGET_S = -0.1
 
 
 class QuotaFleet(AdmissionZone):
@@ -35,6 +37,8 @@
         self.counted_from = 0.0
         self.paused_s = 0.0
         self.callers_in = None
+        self.late_share = 0.0
+        self.late_sent = Counter()
         super().__init__(
             gateways,
             UPSTREAMS,
@@ -76,7 +80,9 @@
 
     def call(self, name, workspace):
         asked_at = self.reactor.seconds()
-        call = self.place(name, workspace=workspace)
+        is_late = self.rng.random() < self.late_share
+        target_s = LATE_TARGET_S if is_late else TARGET_S
+        call = self.place(name, target_s, workspace)
         call.admission = self.sharings[name]
 
         def ended():
@@ -87,6 +93,7 @@
             now = self.reactor.seconds()
             if call.permit is not None:
                 self.sent[workspace].append(now)
+                self.late_sent[workspace] += is_late
                 self.reactor.callLater(CALL_S, ended)
             elif isinstance(call.error, QuotaExceededError):
                 self.over_quota[workspace] += 1
--- a/features/steps/quota_fleet_steps.py
+++ b/features/steps/quota_fleet_steps.py
@@ -54,6 +54,11 @@
         context.fleet.restart(name, 1.0)
 
 
+@when("half of the calls are past their target")
+def step_late(context):
+    context.fleet.late_share = 0.5
+
+
 @when("all gateways are paused for {seconds:g} s")
 def step_pause(context, seconds):
     context.fleet.paused_s += seconds
@@ -114,3 +119,12 @@
     fleet = context.fleet
     seconds = fleet.reactor.seconds() - fleet.counted_from
     assert fleet.quota_datagrams < count * seconds, fleet.quota_datagrams / seconds
+
+
+@then("at most {percent:g} % of what it has sent was past its target")
+def step_few_late(context, percent):
+    fleet = context.fleet
+    name = fleet.names[0]
+    sent = sum(each >= fleet.counted_from for each in fleet.sent[name])
+    late = fleet.late_sent[name]
+    assert late <= percent / 100 * sent, (late, sent)
--- a/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/quota_bank.py
@@ -159,6 +159,11 @@
         self._note_demand(now, account, 1)
         return _spend(account, 1)
 
+    def is_scarce(self, now: float, name: WorkspaceName) -> bool:
+        """Whether callers have asked for all of the quota for some time."""
+        account = self._account(now, name)
+        return account is not None and self._spare_per_s(now, account) <= 0
+
     def take_again(self, now: float, name: WorkspaceName) -> bool:
         """Take a request that :meth:`take` has refused and that has waited since."""
         account = self._account(now, name)
@@ -174,8 +179,7 @@
         if account is None:
             return 0.0
         window_s = self._terms.window_s
-        asked_per_s = _window_demand(now, account, window_s)
-        spare_per_s = account.granted.per_s * self._share - asked_per_s
+        spare_per_s = self._spare_per_s(now, account)
         gap_s = min(window_s, 1 / spare_per_s) if spare_per_s > 0 else window_s
         account.returns_at = min(now + window_s, max(now, account.returns_at) + gap_s)
         return account.returns_at - now
@@ -247,6 +251,11 @@
         needed = LOOKAHEAD_S * _demand(now, account)
         return _left(account) < needed and needed >= 1
 
+    def _spare_per_s(self, now: float, account: _Account) -> float:
+        """Return what the bank gains beyond what is asked for, or less than 0."""
+        asked_per_s = _window_demand(now, account, self._terms.window_s)
+        return account.granted.per_s * self._share - asked_per_s
+
     def _note_demand(self, now: float, account: _Account, count: int) -> None:
         window_s = self._terms.window_s
         in_window = _window_demand(now, account, window_s) + count / window_s
--- a/packages/banyanshelf-core/src/banyanshelf_core/quota_batches.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/quota_batches.py
@@ -18,6 +18,8 @@
 BATCH_VALID_S = 1.0
 # A batch is renewed when it lasts for less than this time.
 RENEWAL_S = 0.1
+# After a refusal by the bank, a workspace is taken to be over its quota for this long.
+SCARCE_TIME_S = 1.0
 # What is left of a batch is returned to the bank within this time after its end. Later,
 # after a pause, the bank may be another one.
 RETURN_TIME_S = 0.5
@@ -32,6 +34,8 @@
     # Until then, the bank had nothing, and callers are told to return at that time.
     refused_until: float = -math.inf
     returns_at: float = -math.inf
+    # Until then, callers may be asking for more than the quota.
+    scarce_until: float = -math.inf
 
 
 class QuotaBatches:
@@ -52,6 +56,11 @@
         batch.demand_at = now
         return self.take_again(now, name)
 
+    def is_scarce(self, now: float, name: WorkspaceName) -> bool:
+        """Whether the bank has had nothing for a workspace recently."""
+        batch = self._batch_by_workspace.get(name)
+        return batch is not None and now < batch.scarce_until
+
     def take_again(self, now: float, name: WorkspaceName) -> bool:
         """Take a request that :meth:`take` has refused and that has waited since."""
         batch = self._batch_by_workspace[name]
@@ -83,6 +92,7 @@
         """Record that the bank has nothing; ask it again after ``hold_s``."""
         batch = self._batch_by_workspace.setdefault(name, _Batch())
         batch.refused_until = now + hold_s
+        batch.scarce_until = now + SCARCE_TIME_S
         batch.returns_at = now + wait_s
 
     def refused_for_s(self, now: float, name: WorkspaceName) -> float:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
@@ -32,6 +32,8 @@
 # A bank that had nothing is not asked again for this long. It keeps what it gains
 # meanwhile.
 REFUSAL_HOLD_S = 0.25
+# A late call that is refused in favor of others should not return before this time.
+LATE_RETURN_S = 1.0
 LOG_PERIOD_S = 1.0
 
 log = Logger("quotas")
@@ -105,6 +107,8 @@
             return self._take_from_batch(now, request)
         if self.keeper.settling_s(now):
             return Deferred.fromCoroutine(self._take_when_settled(request))
+        if self._is_late(now, request) and bank.is_scarce(now, name):
+            return fail(self._refusal(name, bank.return_in_s(now, name)))
         if bank.take(now, name):
             return None
         if self.keeper.is_dry(now, name):
@@ -144,6 +148,8 @@
         self, now: float, request: PlacementRequest
     ) -> Deferred[None] | None:
         name = request.workspace
+        if self._is_late(now, request) and self._batches.is_scarce(now, name):
+            return fail(self._refusal(name, LATE_RETURN_S))
         if self._batches.take(now, name):
             return None
         wait_s = self._batches.refused_for_s(now, name)
@@ -253,6 +259,14 @@
         if expired:
             self._exchange.give_back(self.keeper.bank_member(now).address, expired)
 
+    @staticmethod
+    def _is_late(now: float, request: PlacementRequest) -> bool:
+        """Whether a call is past its target.
+
+        While a workspace is over its quota, another call can still be answered in time.
+        """
+        return request.target <= now
+
     def _refusal(self, name: WorkspaceName, wait_s: float) -> QuotaExceededError:
         self._refused[name] += 1
         self.refused_calls += 1
