--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -249,6 +249,24 @@
     cold_s: Seconds = 0.0
 
 
+class WaitingNotice(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """Says that the aggregator has queued calls of the receiver, and still has them.
+
+    It is repeated while they wait; a gateway that hears nothing more of a call places
+    it itself.
+    """
+
+    sender: MemberId
+    numbers: list[int]
+
+
+class PlacementWithdrawal(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Says that the sender needs no placement of this call any more."""
+
+    sender: MemberId
+    number: int
+
+
 Counts = dict[WorkspaceName, Count]
 
 
@@ -297,6 +315,8 @@
     | DepartureNotice
     | CrashDigest
     | UpstreamStatement
+    | WaitingNotice
+    | PlacementWithdrawal
     | QuotaDraw
     | QuotaGrant
 )
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -134,6 +134,12 @@
         self.cold_until = until
         return is_news
 
+    def takes_calls(self, now: float) -> bool:
+        """Whether the upstream takes calls at all, however many it has."""
+        is_live = self.upstream.state is UpstreamState.LIVE
+        is_held_back = self.is_limited(now) or self.is_paused(now)
+        return is_live and not is_held_back and not self.is_ejected(now)
+
     def note_limit(self, stated: StatedLimit) -> bool:
         """Record what the upstream states; returns whether its limit has changed.
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/answer_relay.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/answer_relay.py
@@ -7,7 +7,7 @@
 from banyanshelf_core.errors import UpstreamAnswerError, UpstreamError
 from banyanshelf_core.model import AnswerKind
 from banyanshelf_daemon.attempt import Attempt
-from banyanshelf_daemon.caller_server import Exchange
+from banyanshelf_daemon.exchange import Exchange
 from banyanshelf_daemon.http_message import AnswerHead
 
 
