Try cold upstreams with calls that wait for room

Cause: the services' text of the simulated fleets cannot be changed in place any more, and calls may wait for room now.

Change: the directory of the simulated fleets changes its text; one scenario has waiting calls.

--- a/features/daemon/cold_upstreams.feature
+++ b/features/daemon/cold_upstreams.feature
@@ -18,6 +18,15 @@
       | 40       | 24        | 300  | entries        |
       | 40       | 24        | 300  | health answers |
 
+  # Guards against calls in a queue that are all sent as the upstreams come back.
+  Scenario: Cold upstreams are spared by calls that wait for room
+    Given 40 gateways in 3 zones, with 24 upstreams that take 6.1 requests a second while cold, and calls that wait for room
+    When callers make 300 calls to these for 2 s
+    And the upstreams of a zone become cold for 3 s, as their entries tell
+    And callers make 300 calls to these for 5 s
+    Then no cold upstream gets more requests in a second than it tolerates
+    And at least 90 % of these calls are placed
+
   # Guards against gateways that know nothing of who is cold after their own restart.
   Scenario: Gateways that have all just started spare cold upstreams
     Given 13 gateways in 3 zones, with 12 upstreams that take 6.1 requests a second while cold
--- a/features/steps/cold_fleet_steps.py
+++ b/features/steps/cold_fleet_steps.py
@@ -25,7 +25,7 @@
 class ColdFleet(AdmissionZone):
     """Counts what reaches each upstream while it is cold."""
 
-    def __init__(self, gateways, zones, upstreams, per_s, seed=1):
+    def __init__(self, gateways, zones, upstreams, per_s, *, are_calls_waiting):
         self.zones = [f"zone-{number}" for number in range(zones)]
         self.per_s = per_s
         self.cold_until = defaultdict(float)
@@ -36,12 +36,13 @@
             gateways,
             upstreams,
             SLOTS,
-            random.Random(seed),
+            random.Random(1),
             zone_of=lambda number: self.zones[number % zones],
         )
-        service = Service(cold_s=3.0, cold_requests_per_s=per_s)
-        self.directory.text.text.services = {SERVICE: service}
-        self.change_entries(lambda upstream: upstream)
+        service = Service(
+            cold_s=3.0, cold_requests_per_s=per_s, wait_for_room=are_calls_waiting
+        )
+        self.directory.change_text(services={SERVICE: service})
         self.settle(START_S)
 
     def upstream_of(self, number, slots):
@@ -126,7 +127,17 @@
     "{per_s:g} requests a second while cold"
 )
 def step_fleet(context, gateways, zones, upstreams, per_s):
-    context.fleet = ColdFleet(gateways, zones, upstreams, per_s)
+    context.fleet = ColdFleet(
+        gateways, zones, upstreams, per_s, are_calls_waiting=False
+    )
+
+
+@given(
+    "{gateways:d} gateways in {zones:d} zones, with {upstreams:d} upstreams that take "
+    "{per_s:g} requests a second while cold, and calls that wait for room"
+)
+def step_waiting_fleet(context, gateways, zones, upstreams, per_s):
+    context.fleet = ColdFleet(gateways, zones, upstreams, per_s, are_calls_waiting=True)
 
 
 @when("callers make {rate:g} calls to these for {seconds:g} s")
--- a/features/steps/quota_fleet.py
+++ b/features/steps/quota_fleet.py
@@ -47,7 +47,7 @@
             zone_of=lambda number: self.zones[number % zones],
         )
         quota = Workspace(requests_per_s=per_s, burst=per_s)
-        self.directory.set_workspaces(dict.fromkeys(self.names, quota))
+        self.directory.change_text(workspaces=dict.fromkeys(self.names, quota))
         self.settle(START_S)
 
     def upstream_of(self, number, slots):
--- a/features/steps/simulated_admissions.py
+++ b/features/steps/simulated_admissions.py
@@ -35,8 +35,8 @@
     def on_change(self, handler):
         self.handlers.append(handler)
 
-    def set_workspaces(self, workspaces):
-        text = msgspec.structs.replace(self.text.text, workspaces=workspaces)
+    def change_text(self, **fields):
+        text = msgspec.structs.replace(self.text.text, **fields)
         self.text = SimpleNamespace(text=text)
         for handler in self.handlers:
             handler(self.text)
