Consider other zones for waiting calls as they arrive

Cause: a call that was expected to be in time here after a wait was never sent to another zone, however unlikely that was; the upstreams of a small service are one pool only if calls leave their zone.

Change: the expected answer time here counts the wait and the speed of the upstreams. A call is checked when it arrives and once more if it is late.

--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -61,6 +61,19 @@
     return per_s
 
 
+def expected_here_s(
+    now: float, selector: PlacementSelector, request: PlacementRequest, wait_s: float
+) -> float:
+    """Return the expected time until an answer from the local zone after a wait."""
+    work_s = selector.estimate.expected_work_s(request.work_class, request.target - now)
+    services_s = [
+        selector.pace.service_s(work_s, load.rate, now - load.reported_at)
+        for load in _usable_here(now, selector)
+        if load.upstream.id not in request.excluded
+    ]
+    return wait_s + min(services_s, default=math.inf)
+
+
 def is_served_here(
     now: float, selector: PlacementSelector, request: PlacementRequest
 ) -> bool:
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/waiting_calls.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/waiting_calls.py
@@ -40,14 +40,14 @@
 class WaitingCall:
     """A call that waits since ``arrived``.
 
-    ``is_held`` is true while a placement of the call is being tried, and
-    ``has_tried_elsewhere`` once other zones were found to have no room for it.
+    ``is_held`` is true while a placement of the call is being tried.
+    ``tries_elsewhere`` counts how often other zones were considered.
     """
 
     request: PlacementRequest
     arrived: float
     is_held: bool = False
-    has_tried_elsewhere: bool = False
+    tries_elsewhere: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -15,6 +15,7 @@
 from banyanshelf_core.placement.choice import PlacementSelector
 from banyanshelf_core.placement.decisions import Placed, PlacementRequest, Refused
 from banyanshelf_core.placement.room import (
+    expected_here_s,
     find_room,
     find_room_elsewhere,
     is_served_here,
@@ -41,6 +42,9 @@
 REVIEW_PERIOD_S = 0.01
 # The service rate is estimated again after this time, in which it changes little.
 RATE_PERIOD_S = 0.05
+# Other zones are considered for a call when it arrives, and again if it would be late.
+# Their upstreams are asked for their load first, which takes a request.
+MAX_TRIES_ELSEWHERE = 2
 # Weight of a call's expected work in the mean over the calls of a service.
 WORK_WEIGHT = 0.05
 
@@ -234,14 +238,15 @@
         per_s = self._rate(queue, selector)
         service_s = _service_time(now, selector)
         turns = queue.calls.turns(now, per_s, service_s)
-        for place, call in enumerate(turns.late):
-            self._try_elsewhere(
-                queue, selector, call, per_s, len(turns.in_time) + place
-            )
+        for place, call in enumerate([*turns.in_time, *turns.late]):
+            most_tries = 1 if place < len(turns.in_time) else MAX_TRIES_ELSEWHERE
+            if call.tries_elsewhere < most_tries:
+                self._try_elsewhere(queue, selector, call, _wait_s(place, per_s))
+        places = len(turns.in_time) + len(turns.late)
         for call, refused in turns.refused:
-            if not self._try_elsewhere(
-                queue, selector, call, per_s, len(turns.in_time) + len(turns.late)
-            ):
+            if call.tries_elsewhere < MAX_TRIES_ELSEWHERE:
+                self._try_elsewhere(queue, selector, call, _wait_s(places, per_s))
+            if not call.is_held:
                 self._refuse(queue, call, refused)
 
     def _try_elsewhere(
@@ -249,26 +254,20 @@
         queue: _ServiceQueue,
         selector: PlacementSelector,
         call: WaitingCall,
-        per_s: float,
-        ahead: int,
-    ) -> bool:
-        """Try other zones, once for each call; return whether it is still open."""
+        wait_s: float,
+    ) -> None:
+        """Place a call in another zone if it is much more likely to be in time."""
+        if call.is_held or call not in queue.calls:
+            return
         now = self._reactor.seconds()
-        if call.is_held:
-            return True
-        if call.has_tried_elsewhere:
-            return False
-        call.has_tried_elsewhere = True
-        wait_s = (ahead + 1) / per_s if per_s > 0 else math.inf
-        local_s = wait_s + _service_time(now, selector)(call.request)
+        call.tries_elsewhere += 1
+        local_s = expected_here_s(now, selector, call.request, wait_s)
 
         def choose(at: float, request: PlacementRequest) -> Placed | Refused:
             return find_room_elsewhere(at, selector, request, local_s=local_s)
 
-        if not isinstance(choose(now, call.request), Placed):
-            return False
-        self._try(queue, selector, call, choose)
-        return call.is_held or call not in queue.calls
+        if isinstance(choose(now, call.request), Placed):
+            self._try(queue, selector, call, choose)
 
     def _try(
         self,
@@ -342,6 +341,10 @@
             self._metrics.count(f"{queue.metric}.withdrawn.{call.request.priority}")
 
 
+def _wait_s(ahead: int, per_s: float) -> float:
+    return (ahead + 1) / per_s if per_s > 0 else math.inf
+
+
 def _chooser(selector: PlacementSelector, may_be_late: bool) -> ChoosePlacement:
     def choose(now: float, request: PlacementRequest) -> Placed | Refused:
         found = find_room(now, selector, request, may_be_late=may_be_late)
