--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -219,7 +219,7 @@
 
 def on_others_mark(context, method):
     """Receive two crash marks for a request to /a from other members."""
-    fingerprint = request_fingerprint("desk", method, b"/a", b"", b"")
+    fingerprint = request_fingerprint("desk", method, b"/a", b"")
     subscriptions = context.path.collaborators.subscribe.call_args_list
     [handler] = [each.args[1] for each in subscriptions if each.args[0] is CrashMark]
     for number in range(2):
@@ -314,6 +314,7 @@
     ),
     "hold_permits": lambda c: setattr(c.path.permits, "is_holding_back", True),
     "grant": lambda c: (c.path.permits.grant_held(), c.path.settle()),
+    "grant_one": lambda c, at: (c.path.permits.grant_one(int(at)), c.path.settle()),
     "hold_record": lambda c: setattr(c.path.claims, "record_waiter", Deferred()),
     "record": lambda c: c.path.claims.record_waiter.callback(None),
     "gone": lambda c: c.caller.cut(),
@@ -335,6 +336,12 @@
     return f"{status} {problem.get('outcome', 'no outcome')}"
 
 
+def show_released_last(context, expected):
+    """Check the results of the last attempts, whose number comes first."""
+    count, *results = expected.split()
+    return context.path.permits.released[-int(count) :] == results
+
+
 def show_header(context, expected):
     name, _, value = expected.partition("=")
     return split_answers(context.caller.value())[-1][1].get(name.lower(), "") == value
@@ -361,6 +368,7 @@
 
 WITH_ARGUMENT = {
     "received_most",
+    "released_last",
     "header",
     "decisions",
     "got",
@@ -385,6 +393,7 @@
     "priorities": lambda c: " ".join(
         dict.fromkeys(str(each.priority) for each in c.path.permits.requests)
     ),
+    "draws": lambda c: str(c.path.permits.requests[-1].counts_toward_quota),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -78,6 +78,13 @@
     def loseConnection(self):  # noqa: N802
         self.reactor.callLater(0, self.cut, ConnectionDone())
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.cut(reason.value)
+
+    def loseWriteConnection(self):  # noqa: N802
+        # The other end closes once it has read everything.
+        self.loseConnection()
+
     def abortConnection(self):  # noqa: N802
         self.was_aborted = True
         self.reactor.callLater(0, self.cut, ConnectionAborted())
@@ -119,6 +126,13 @@
         for service_name, request, waiter in held:
             self.acquire(service_name, request).chainDeferred(waiter)
 
+    def grant_one(self, at):
+        """Decide on one of the requests that were held back."""
+        service_name, request, waiter = self.held.pop(at)
+        self.is_holding_back = False
+        self.acquire(service_name, request).chainDeferred(waiter)
+        self.is_holding_back = True
+
     def release(self, permit, sample):
         self.released.append(str(sample.kind))
 
