--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -120,10 +120,10 @@
 
     def choose(self, now: float, request: PlacementRequest) -> Placed | Refused:
         """Return the upstream for a call, or why the call is refused."""
-        near = self.candidates(now, request, is_same_zone=True)
+        near = self._candidates(now, request, is_same_zone=True)
         far: list[Candidate] = []
         if not self._is_fast_enough(now, request, near):
-            far = self.candidates(now, request, is_same_zone=False)
+            far = self._candidates(now, request, is_same_zone=False)
         if not near and not far:
             return self._refuse_without_upstream(now, request)
         if near:
@@ -345,7 +345,7 @@
         if load is not None:
             load.eject(now)
 
-    def is_usable(self, now: float, load: UpstreamLoad) -> bool:
+    def _is_usable(self, now: float, load: UpstreamLoad) -> bool:
         """Whether the upstream takes one more call, at least into its queue."""
         if not load.takes_calls(now):
             return False
@@ -359,6 +359,14 @@
             if load.upstream.zone == self._zone
         ]
 
+    def remote_loads(self) -> list[UpstreamLoad]:
+        """Return the loads of the upstreams of other zones."""
+        return [
+            load
+            for load in self.loads_by_id.values()
+            if load.upstream.zone != self._zone
+        ]
+
     def _utilization(self, now: float) -> float:
         """Return the share of the local zone's slots that are in use.
 
@@ -378,7 +386,7 @@
             return used / slots
         return all_used / all_slots if all_slots else 1.0
 
-    def candidates(
+    def _candidates(
         self, now: float, request: PlacementRequest, *, is_same_zone: bool
     ) -> list[Candidate]:
         """Return the usable upstreams of the local zone, or those of other zones."""
@@ -387,7 +395,7 @@
             for upstream_id, load in self.loads_by_id.items()
             if (load.upstream.zone == self._zone) == is_same_zone
             and upstream_id not in request.excluded
-            and self.is_usable(now, load)
+            and self._is_usable(now, load)
         ]
 
     def _is_fast_enough(
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/fair_order.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/fair_order.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -87,12 +87,16 @@
         return ratio if ratio > USUAL_FLUCTUATION else 1.0
 
 
-class Rank(NamedTuple):
-    """Sort key of a waiting call; what goes first sorts first."""
+class Standing(NamedTuple):
+    """How the calls of one kind and workspace stand; what goes first sorts first.
+
+    ``excess`` says how many times its usual rate the workspace has been served lately.
+    A call that ``is_underserved`` may go before its rank.
+    """
 
     priority: int
     excess: float
-    target: float
+    is_underserved: bool
 
 
 class FairOrder:
@@ -100,9 +104,8 @@
 
     Example:
         ``order.note_asked(now, request)`` for each call and ``order.note_served(now,
-        request)`` for each that gets room; ``min(calls, key=lambda call:
-        order.rank(now, call.request))`` is the next one, unless a call
-        ``is_underserved``.
+        request)`` for each that gets room; ``order.standings(now, requests)`` says who
+        goes first.
 
     """
 
@@ -129,25 +132,31 @@
         """Return the recent rate of calls that asked before their target."""
         return self._timely.per_s(now)
 
-    def is_underserved(self, now: float, request: PlacementRequest) -> bool:
-        """Whether a call's kind or workspace is served far less often than all."""
+    def standings(
+        self, now: float, requests: Iterable[PlacementRequest]
+    ) -> list[Standing]:
+        """Return the standing of each call."""
+        # Most calls have their kind and workspace in common with others.
+        standing_by_key: dict[Hashable, Standing] = {}
+        result = []
+        for request in requests:
+            key = (request.work_class, request.priority, request.workspace)
+            standing = standing_by_key.get(key)
+            if standing is None:
+                standing = standing_by_key[key] = self._standing(now, request)
+            result.append(standing)
+        return result
+
+    def _standing(self, now: float, request: PlacementRequest) -> Standing:
+        groups = self._statistics_of(request)[1:]
         least = MIN_SERVED_SHARE * self._all.served_share(now)
-        return any(
-            statistics.asked.value(now) >= MIN_CALLS_FOR_SHARE
-            and statistics.served_share(now) < least
-            for statistics in self._statistics_of(request)[1:]
+        is_underserved = any(
+            each.asked.value(now) >= MIN_CALLS_FOR_SHARE
+            and each.served_share(now) < least
+            for each in groups
         )
-
-    def rank(self, now: float, request: PlacementRequest) -> Rank:
-        """Return the sort key of a waiting call.
-
-        Of equal calls, the one with the earliest target goes first, which is the one
-        whose caller first asked.
-        """
-        excess = 1.0
-        if request.workspace:
-            excess = self._statistics_of(request)[2].excess(now)
-        return Rank(request.priority, excess, request.target)
+        excess = groups[1].excess(now) if request.workspace else 1.0
+        return Standing(request.priority, excess, is_underserved)
 
     def _statistics_of(self, request: PlacementRequest) -> list[_Statistics]:
         """Return the statistics of all calls, of the call's kind and its workspace."""
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from banyanshelf_core.placement.choice import (
     MIN_CROSS_ZONE_GAIN,
@@ -93,6 +93,13 @@
     return used / total if total else 1.0
 
 
+def is_full(now: float, selector: PlacementSelector) -> bool:
+    """Whether no upstream of the local zone has room."""
+    return not any(
+        has_room(now, selector, load) for load in _usable_here(now, selector)
+    )
+
+
 def find_room(
     now: float,
     selector: PlacementSelector,
@@ -105,7 +112,7 @@
     With ``may_be_late``, a call gets room that calls in time leave free, provided that
     it is answered before its deadline.
     """
-    candidates = _with_room(now, selector, request, is_same_zone=True)
+    candidates = _with_room(now, selector, request, selector.local_loads())
     best = selector.fastest(candidates)
     if best is None:
         return None
@@ -132,7 +139,7 @@
     oldest = now - request.max_remote_report_age_s
     candidates = [
         each
-        for each in _with_room(now, selector, request, is_same_zone=False)
+        for each in _with_room(now, selector, request, selector.remote_loads())
         if each[1].reported_at >= oldest or each[1].stated_limit.per_s is not None
     ]
     best = selector.fastest(candidates)
@@ -154,8 +161,13 @@
     now: float,
     selector: PlacementSelector,
     request: PlacementRequest,
-    *,
-    is_same_zone: bool,
+    loads: Iterable[UpstreamLoad],
 ) -> list[Candidate]:
-    candidates = selector.candidates(now, request, is_same_zone=is_same_zone)
-    return [each for each in candidates if has_room(now, selector, each[1])]
+    """Return the upstreams with room; the costly estimate is made for these only."""
+    return [
+        (selector.expected_s(now, load, request), load)
+        for load in loads
+        if load.upstream.id not in request.excluded
+        and load.takes_calls(now)
+        and has_room(now, selector, load)
+    ]
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/waiting_calls.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/waiting_calls.py
@@ -145,11 +145,16 @@
         It is the first one of those that are underserved. Only one at a time goes
         first, as the others may not be underserved any more once it has room.
         """
-        ranked = [(self.order.rank(now, each.request), each) for each in self._waiting]
-        ranked.sort(key=lambda pair: pair[0])
+        waiting = list(self._waiting)
+        standings = self.order.standings(now, [each.request for each in waiting])
+        ranked = sorted(
+            zip(standings, waiting, strict=True),
+            # Of equal calls, that of the caller who asked first goes first.
+            key=lambda each: (each[0][:2], each[1].request.target),
+        )
         ordered = [call for _, call in ranked]
-        for call in ordered:
-            if self.order.is_underserved(now, call.request):
+        for standing, call in ranked:
+            if standing.is_underserved:
                 ordered.remove(call)
                 return [call, *ordered], call
         return ordered, None
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -5,19 +5,23 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from logbook import Logger
 from twisted.internet.defer import Deferred, fail
 from twisted.python.failure import Failure
 
 from banyanshelf_core.model import ServiceName
-from banyanshelf_core.placement.choice import PlacementSelector
+from banyanshelf_core.placement.choice import (
+    NO_UPSTREAM_RETRY_AFTER_S,
+    PlacementSelector,
+)
 from banyanshelf_core.placement.decisions import Placed, PlacementRequest, Refused
 from banyanshelf_core.placement.room import (
     expected_here_s,
     find_room,
     find_room_elsewhere,
+    is_full,
     is_served_here,
     service_rate,
 )
@@ -39,15 +43,20 @@
 
 # Room that frees up at this gateway is used at once; this is how soon it notices the
 # room that calls of other gateways leave, and calls that have lost their prospect.
-REVIEW_PERIOD_S = 0.01
+REVIEW_PERIOD_S = 0.02
 # The service rate is estimated again after this time, in which it changes little.
 RATE_PERIOD_S = 0.05
 # Other zones are considered for a call when it arrives, and again if it would be late.
 # Their upstreams are asked for their load first, which takes a request.
 MAX_TRIES_ELSEWHERE = 2
+# With room only at upstreams that are too slow for so many calls, the others wait too.
+MAX_MISFITS = 4
 # Weight of a call's expected work in the mean over the calls of a service.
 WORK_WEIGHT = 0.05
 
+# The configuration has dropped the service while calls waited for it.
+NOT_SERVED = Refused("service not served", NO_UPSTREAM_RETRY_AFTER_S)
+
 log = Logger("queue")
 
 
@@ -60,6 +69,7 @@
         self.waiting_by_call: dict[WaitingCall, Deferred[Reservation]] = {}
         self.work_s = 0.0
         self.per_s = 0.0
+        self.is_serving_soon = False
         self.rated_at = -math.inf
 
     def note_work(self, work_s: float) -> None:
@@ -69,13 +79,6 @@
         self.work_s += WORK_WEIGHT * (work_s - self.work_s)
 
 
-class QueueSnapshot(NamedTuple):
-    """Figures of one queue for the status page."""
-
-    waiting: int
-    timely_per_s: float
-
-
 class CallQueues:
     """Places calls when room frees up, in the order of :class:`FairOrder`.
 
@@ -107,7 +110,6 @@
         self._active: ActiveText | None = None
         self._enabled: set[ServiceName] = set()
         self._queue_by_service: dict[ServiceName, _ServiceQueue] = {}
-        self._is_serving = False
         self._review_task = PeriodicTask(reactor, self._review_all, "call queue")
         metrics.gauge("queue.waiting", self.waiting_count)
 
@@ -133,16 +135,6 @@
         """Return the number of calls that wait at this gateway."""
         return sum(len(each.calls) for each in self._queue_by_service.values())
 
-    def snapshot(self) -> dict[ServiceName, QueueSnapshot]:
-        """Return the figures of each queue."""
-        now = self._reactor.seconds()
-        return {
-            name: QueueSnapshot(
-                len(queue.calls), round(queue.calls.order.timely_per_s(now), 1)
-            )
-            for name, queue in self._queue_by_service.items()
-        }
-
     def place(
         self,
         service_name: ServiceName,
@@ -169,14 +161,10 @@
         queue.note_work(
             selector.estimate.expected_work_s(request.work_class, request.target - now)
         )
-        if len(queue.calls) == 1:
-            found = find_room(now, selector, request, may_be_late=False)
-            if found is not None:
-                self._try(queue, selector, call, _chooser(selector, False))
-        if call in queue.calls and not call.is_held:
+        if len(queue.calls) > 1:
             self._serve(queue, selector)
-        if call in queue.calls and not call.is_held:
-            self._review(queue, selector)
+        else:
+            self._place_now(queue, selector, call, may_be_late=False)
         if call in queue.calls and not self._review_task.is_running:
             self._review_task.start(REVIEW_PERIOD_S)
         return result
@@ -184,23 +172,25 @@
     def room_freed(self, service_name: ServiceName) -> None:
         """Give the room that a call has left to the next one."""
         queue = self._queue_by_service.get(service_name)
-        if queue is not None and len(queue.calls):
+        if queue is not None and len(queue.calls) and not queue.is_serving_soon:
             # Ends of calls arrive in batches, whose room is given away in one go.
+            queue.is_serving_soon = True
             self._reactor.callLater(0, self._serve_service, service_name)
 
     def _serve_service(self, service_name: ServiceName) -> None:
-        queue = self._queue_by_service[service_name]
+        queue = self._queue_by_service.get(service_name)
         selector = self._loads.selector_by_service.get(service_name)
-        if selector is not None:
+        if queue is not None and selector is not None:
+            queue.is_serving_soon = False
             self._serve(queue, selector)
 
     def _review_all(self) -> None:
         for name, queue in list(self._queue_by_service.items()):
             selector = self._loads.selector_by_service.get(name)
             if selector is None:
+                del self._queue_by_service[name]
                 for call in list(queue.waiting_by_call):
-                    refused = Refused("service not served", 0.0)
-                    self._refuse(queue, call, refused)
+                    self._refuse(queue, call, NOT_SERVED)
             elif len(queue.calls):
                 self._serve(queue, selector)
                 self._review(queue, selector)
@@ -218,19 +208,48 @@
     def _serve(self, queue: _ServiceQueue, selector: PlacementSelector) -> None:
         """Place waiting calls while there is room."""
         now = self._reactor.seconds()
+        if is_full(now, selector):
+            return
         turns = queue.calls.turns(
             now, self._rate(queue, selector), _service_time(now, selector)
         )
         in_time = set(turns.in_time)
         # A call without a prospect of a turn still gets room that is free now.
         hopeless = [call for call, _ in turns.refused]
+        misfits = 0
         for call in [*turns.in_time, *turns.late, *hopeless]:
             if call.is_held or call not in queue.calls:
                 continue
             may_be_late = call not in in_time
-            found = find_room(now, selector, call.request, may_be_late=may_be_late)
-            if found is not None:
-                self._try(queue, selector, call, _chooser(selector, may_be_late))
+            if not self._place_now(queue, selector, call, may_be_late=may_be_late):
+                misfits += 1
+            if misfits == MAX_MISFITS or is_full(now, selector):
+                return
+
+    def _place_now(
+        self,
+        queue: _ServiceQueue,
+        selector: PlacementSelector,
+        call: WaitingCall,
+        *,
+        may_be_late: bool,
+    ) -> bool:
+        """Place a call in the local zone if there is room for it."""
+        now = self._reactor.seconds()
+        first = find_room(now, selector, call.request, may_be_late=may_be_late)
+        if first is None:
+            return False
+
+        known = [first]
+
+        def choose(at: float, request: PlacementRequest) -> Placed | Refused:
+            if known:
+                return known.pop()
+            found = find_room(at, selector, request, may_be_late=may_be_late)
+            return found or Refused(NO_TURN_REASON, 0.0)
+
+        self._try(queue, selector, call, choose)
+        return True
 
     def _review(self, queue: _ServiceQueue, selector: PlacementSelector) -> None:
         """Look for room elsewhere for calls that are not in time here, or refuse."""
@@ -345,14 +364,6 @@
     return (ahead + 1) / per_s if per_s > 0 else math.inf
 
 
-def _chooser(selector: PlacementSelector, may_be_late: bool) -> ChoosePlacement:
-    def choose(now: float, request: PlacementRequest) -> Placed | Refused:
-        found = find_room(now, selector, request, may_be_late=may_be_late)
-        return found or Refused(NO_TURN_REASON, 0.0)
-
-    return choose
-
-
 def _service_time(
     now: float, selector: PlacementSelector
 ) -> Callable[[PlacementRequest], float]:
@@ -360,11 +371,16 @@
 
     Calls wait for such an upstream, as the speed of each one changes quickly.
     """
+    known: dict[str, float] = {}
 
     def service_s(request: PlacementRequest) -> float:
-        work_s = selector.estimate.expected_work_s(
-            request.work_class, request.target - now
-        )
-        return selector.pace.service_s(work_s, 1.0, 0.0)
+        found = known.get(request.work_class)
+        if found is None:
+            work_s = selector.estimate.expected_work_s(
+                request.work_class, request.target - now
+            )
+            found = selector.pace.service_s(work_s, 1.0, 0.0)
+            known[request.work_class] = found
+        return found
 
     return service_s
