--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_base.py
@@ -9,6 +9,7 @@
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.crash_guard import request_fingerprint
+from banyanshelf_core.errors import RequestError
 from banyanshelf_core.matching import RouteDecision
 from banyanshelf_core.model import AnswerKind, UpstreamId
 from banyanshelf_daemon.attempt import Attempt
@@ -24,6 +25,7 @@
     forwarded_request,
 )
 from banyanshelf_daemon.interfaces import ActiveText, Permit, PermitRequest
+from banyanshelf_daemon.metrics import escape_metric_name
 
 # A timeout counts as the upstream's failure only if the attempt had this many times the
 # 95th percentile of the service time left.
@@ -36,6 +38,8 @@
 class CallState:
     """One call, with the configuration text that was active at its start.
 
+    ``route`` has the workspace of the request and its priority, ``matched`` is the same
+    route without them. ``workspace`` and ``priority`` follow later texts.
     ``_may_have_run`` is true once a byte of the request may have reached an application
     that has not stated that it did not run the request.
     """
@@ -49,6 +53,7 @@
         active: ActiveText,
         context: CallContext,
         request_id: str,
+        matched: RouteDecision,
     ) -> None:
         self.services = services
         self.request = request
@@ -64,6 +69,7 @@
         self.deadline = self.started + timeout_s
         self.target = self._target(context)
         self._context = context
+        self._matched = matched
         self.workspace = route.workspace
         self.priority = route.priority
         self._service_state = services.state_for(route.service_name, route.service)
@@ -71,10 +77,11 @@
         self._used_upstreams: frozenset[UpstreamId] = frozenset()
         self._attempts: list[Attempt] = []
         self._attempt_count = 0
+        # Whether the call has drawn on the quota of its workspace
+        self._is_counted = False
         self._pending_permit: Deferred[Permit] | None = None
         self._pending_hedge_permit: Deferred[Permit] | None = None
         self._fallback_answer: Answer | None = None
-        self._stream_head: AnswerHead | None = None
         self._fingerprint: str | None = None
         self._hedge_at: float | None = None
         self._shortest_pause_s = math.inf
@@ -123,10 +130,25 @@
                 self.priority,
                 self.answer_expected_late if self.route.idempotent else None,
                 self.workspace,
-                not self._attempt_count,
+                not (self._is_counted or self._context.depth),
             ),
         )
 
+    def key_problem(self) -> RequestError | None:
+        """Look the key up in the newest text; return why it admits no more requests.
+
+        A key that another workspace holds now changes ``workspace`` and ``priority``.
+        """
+        active = self.services.active() or self.active
+        try:
+            route = self.services.with_workspace(
+                active, self._matched, self.request, self._context
+            )
+        except RequestError as error:
+            return error
+        self.workspace, self.priority = route.workspace, route.priority
+        return None
+
     def serialized_request(self, upstream_id: UpstreamId) -> bytes:
         """Return the head of the request for an upstream."""
         remaining_s = self.deadline - self.now() - DEADLINE_MARGIN_S
@@ -137,6 +159,7 @@
             self._context.depth + 1,
             self._service_state.name_bytes,
             upstream_id,
+            self.workspace,
         )
         return forwarded_request(
             self.request,
@@ -183,6 +206,10 @@
                 self._service_state.added_metric, (total_s - service_time_s) * 1000
             )
         metrics.count(f"{self._service_state.status_metric}{status}")
+        if self.workspace:
+            # Only names of the operators' text occur, so that their number is bounded.
+            name = escape_metric_name(self.workspace)
+            metrics.count(f"workspace.{name}.status.{status}")
 
     def answer_expected_late(self) -> None:
         """Handle that the answer is expected after the target; does nothing here."""
@@ -194,6 +221,8 @@
         if attempt is not None:
             fields["upstream"] = attempt.permit.upstream.id
             fields["service_ms"] = round(attempt.service_time_s * 1000, 1)
+        if self.workspace:
+            fields["workspace"] = self.workspace
         self.services.log.event(
             "answered",
             request_id=self.request_id,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/daemon.py
@@ -14,6 +14,7 @@
 from banyanshelf_core.matching import RequestMatcher
 from banyanshelf_core.model import Member, Upstream, UpstreamState
 from banyanshelf_core.request_memory import RequestMemory
+from banyanshelf_core.workspace_text import without_keys
 from banyanshelf_daemon.call import CallHandler
 from banyanshelf_daemon.caller_listener import CallerListener
 from banyanshelf_daemon.caller_server import CallerServerFactory
@@ -183,7 +184,13 @@
         return self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host)
 
     def _on_text_adopted(self, active: ActiveText) -> None:
-        self.log.event("text adopted", version=active.version, digest=active.digest)
+        self.log.event(
+            "text adopted",
+            version=active.version,
+            digest=active.digest,
+            evacuated_zones=active.text.evacuated_zones,
+        )
+        self.directory.set_evacuated_zones(active.text.evacuated_zones)
         if self.lifecycle.state_name() == "starting":
             self.lifecycle.ready()
 
@@ -233,7 +240,7 @@
         active = self.cluster.active()
         if active is None:
             return {"version": 0, "digest": "", "text": None}
-        return active._asdict()
+        return {**active._asdict(), "text": without_keys(active.text)}
 
     def _explain(self, host: str, path: str, method: str) -> dict[str, Any]:
         active = self.cluster.active()
