Show that connections keep no old limits and lose no answers

Cause: A connection kept the limits of the configuration it was opened under; it was closed with unread requests behind its answer, so that the kernel reset it; and it stopped reading while requests were queued, so that the end of the connection was not noticed.

Change: Scenarios on real sockets for the answer to the first of several requests in a planned stop, the refusal of a long body, a caller that leaves behind queued requests, and a limit that is raised on an open connection.

--- /dev/null
+++ b/features/daemon/caller_connections.feature
@@ -0,0 +1,37 @@
+Feature: A connection of a caller keeps nothing and loses nothing
+
+  Background:
+    Given a caller listener on a loopback port
+
+  # Guards against an answer that is cut by a reset, as further requests of the caller
+  # were not read when its connection was closed.
+  Scenario: A planned stop sends the whole answer to the first of several requests
+    Given calls that take 0.3 s and are answered with 300000 bytes
+    When a caller with a small window connects
+    And the caller sends 3 requests, one after another
+    And the listener stops
+    And more of the caller's requests arrive while it reads slowly
+    Then the caller gets 300000 bytes
+    And the stop has ended
+
+  # Guards against a refusal that is lost in a reset, as the body was not read.
+  Scenario: The refusal of a long body reaches a caller that goes on sending it
+    When a caller connects, and sends nothing
+    And the caller sends a body of 8000000 bytes
+    Then its request is answered with 413 and "Connection: close"
+
+  # Guards against requests that wait for or run at an upstream although nobody waits for
+  # their answers any more.
+  Scenario: The end of a connection is noticed behind queued requests
+    Given calls that take 30 s
+    When a caller connects, and sends nothing
+    And the caller sends 3 requests, one after another
+    And the caller closes its connection
+    Then the call in progress learns that its caller has left
+
+  # Guards against limits of an older configuration on connections that stay open.
+  Scenario: A raised limit holds on a connection that is open
+    When a caller connects, and gets one answer
+    And the limit on bodies is raised to 2000000 bytes
+    And the caller sends a body of 1500000 bytes
+    Then its body is accepted
--- /dev/null
+++ b/features/steps/caller_connection_steps.py
@@ -0,0 +1,89 @@
+"""Steps for single connections of callers, on real sockets."""
+
+from behave import given, then, when
+from planned_stop_steps import REQUEST, _Caller, step, step_until
+
+from banyanshelf_daemon.request_reader import CallerLimits
+
+WINDOW_BYTES = 4096
+ARRIVALS = 20
+
+
+@given("calls that take {seconds:g} s and are answered with {size:d} bytes")
+def step_long_answers(context, seconds, size):
+    context.handler.delay_s = seconds
+    context.handler.body = b"a" * size
+
+
+@when("a caller with a small window connects")
+def step_small_window(context):
+    context.callers = [_Caller(context.port_number, WINDOW_BYTES)]
+    step(context)
+
+
+@when("the caller sends {count:d} requests, one after another")
+def step_requests(context, count):
+    for _ in range(count):
+        context.callers[0].send()
+        step(context, 0.01)
+    step_until(context, lambda: context.handler.calls)
+
+
+@when("more of the caller's requests arrive while it reads slowly")
+def step_more(context):
+    [caller] = context.callers
+    step_until(context, lambda: caller.received)
+    for _ in range(ARRIVALS):
+        try:
+            caller.socket.send(REQUEST)
+        except OSError:
+            return
+        step(context, 0.005)
+
+
+@when("the caller sends a body of {size:d} bytes")
+def step_body(context, size):
+    [caller] = context.callers
+    head = f"POST /a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: {size}\r\n\r\n"
+    left = memoryview(head.encode() + b"b" * size)
+    # Like a simple client, it reads the answer once it has sent everything.
+    context.callers = []
+    while left:
+        try:
+            left = left[caller.socket.send(left) :]
+        except BlockingIOError:
+            step(context)
+        except OSError:
+            break
+    context.callers = [caller]
+
+
+@when("the caller closes its connection")
+def step_close(context):
+    context.callers.pop().socket.close()
+
+
+@when("the limit on bodies is raised to {size:d} bytes")
+def step_raise_limit(context, size):
+    context.factory.limits = CallerLimits(body_bytes=size)
+
+
+@then("the caller gets {size:d} bytes")
+def step_whole(context, size):
+    [caller] = context.callers
+    step_until(context, lambda: caller.is_closed)
+    head, _, body = caller.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200"), head
+    assert len(body) == size, len(body)
+    context.callers.pop().socket.close()
+
+
+@then("the call in progress learns that its caller has left")
+def step_left(context):
+    step_until(context, lambda: context.handler.departures)
+
+
+@then("its body is accepted")
+def step_accepted(context):
+    step_until(context, lambda: context.callers[0].received.endswith(b"ok"))
+    assert context.handler.bodies[-1] == 1500000, context.handler.bodies
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -22,12 +22,14 @@
 
     def __init__(self, reactor):
         self.reactor, self.delay_s, self.calls = reactor, 0.0, 0
+        self.body, self.bodies, self.departures = b"ok", [], 0
         self.refusals = []
 
     def start(self, request, exchange, *, trust_internal_headers):
         self.calls += 1
-        exchange.call = _Call(exchange)
-        answer = Answer(200, [], b"ok")
+        self.bodies.append(len(request.body))
+        exchange.call = _Call(self, exchange)
+        answer = Answer(200, [], self.body)
         if self.delay_s:
             self.reactor.callLater(self.delay_s, exchange.answer, answer)
         else:
@@ -40,24 +42,30 @@
 
 
 class _Call:
-    """A call that can be ended by a shutdown only."""
+    """A call that can be ended by a shutdown, and counts callers that leave."""
 
-    def __init__(self, exchange):
-        self.exchange = exchange
+    def __init__(self, handler, exchange):
+        self.handler, self.exchange = handler, exchange
 
     def end_by_shutdown(self):
         self.exchange.answer(Answer(503, [], b"unknown"))
 
     def caller_disconnected(self):
+        self.handler.departures += 1
         return False
 
 
 class _Caller:
     """A blocking client socket; answers are read without waiting."""
 
-    def __init__(self, port):
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S)
+    def __init__(self, port, window_bytes=0):
+        self.socket = socket.socket()
+        if window_bytes:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        self.socket.settimeout(LIMIT_S)
+        self.socket.connect(("127.0.0.1", port))
         self.socket.setblocking(False)
+        self.read_bytes = window_bytes or 65536
         self.received, self.is_closed = b"", False
 
     def send(self):
@@ -65,7 +73,7 @@
 
     def read(self):
         try:
-            data = self.socket.recv(65536)
+            data = self.socket.recv(self.read_bytes)
         except BlockingIOError:
             return
         except ConnectionResetError:
