--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/metrics.py
@@ -14,7 +14,7 @@
 | ``claim.STATUS`` | counter | claim decisions |
 | ``request.refused.CODE`` | counter | requests refused before routing |
 | ``signal.KIND`` | counter | upstreams draining, refused, unreachable, closed, cut |
-| ``queue.SERVICE.RESULT.PRIORITY`` | counter | waiting calls placed, refused, withdrawn |
+| ``queue.SERVICE.RESULT.PRIORITY`` | counter | waits that ended, by result |
 | ``queue.SERVICE.wait`` | timing | ms until a waiting call was placed |
 | ``queue.waiting`` | gauge | waiting calls |
 | ``calls_in_progress.callers``, ``.services`` | gauge | calls by listener |
