--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call.py
@@ -9,7 +9,11 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
-from banyanshelf_core.errors import RequestError, UpstreamError
+from banyanshelf_core.errors import (
+    RequestError,
+    UpstreamAnswerError,
+    UpstreamError,
+)
 from banyanshelf_core.matching import RequestMatcher, RouteDecision
 from banyanshelf_core.model import Outcome, Upstream
 from banyanshelf_daemon.call_services import CallServices
@@ -246,6 +250,7 @@
         self._services = services
         self._upstream = upstream
         self._status = 0
+        self._is_answered = False
         self._request = request
         self._connection: UpstreamConnection | None = None
         self._waiter: Deferred[UpstreamConnection] | None = None
@@ -265,6 +270,7 @@
     def answer_begun(self, head: AnswerHead) -> None:
         """Read the status and what the answer says of its upstream."""
         self._status = head.status
+        self._is_answered = True
         if self._services.dialect.answered_by(head) not in (None, self._upstream.id):
             self._status = 0
             return
@@ -278,7 +284,8 @@
         self._finish(200 <= self._status < 300)
 
     def answer_failed(self, error: UpstreamError) -> None:
-        """Fail the probe."""
+        """Fail the probe; bytes that are no answer still show a sign of life."""
+        self._is_answered = isinstance(error, UpstreamAnswerError)
         self._finish(False)
 
     def _send_on_new_connection(self) -> None:
@@ -311,5 +318,8 @@
         for timer in (self._timer, self._retry_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        if not self.result.called:
-            self.result.callback(is_alive)
+        if self.result.called:
+            return
+        if not self._is_answered:
+            self._services.upstream_unanswered(self._upstream.id)
+        self.result.callback(is_alive)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_limiter.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from logbook import Logger
-from twisted.internet.defer import Deferred, fail
+from twisted.internet.defer import Deferred, fail, succeed
 
 from banyanshelf_core.limit_keeper import ASSUMED_ZONE_MEMBERS
 from banyanshelf_core.model import Member, WorkspaceName
@@ -32,6 +32,8 @@
 # A bank that had nothing is not asked again for this long. It keeps what it gains
 # meanwhile.
 REFUSAL_HOLD_S = 0.25
+# A late call that is refused in favor of others should not return before this time.
+LATE_RETURN_S = 1.0
 LOG_PERIOD_S = 1.0
 
 log = Logger("quotas")
@@ -102,10 +104,11 @@
         now = self._clock()
         bank = self.keeper.bank(now)
         if bank is None:
-            return self._take_from_batch(now, name)
-        settling_s = self.keeper.settling_s(now)
-        if settling_s:
-            return fail(self._refusal(name, settling_s))
+            return self._take_from_batch(now, request)
+        if self.keeper.settling_s(now):
+            return Deferred.fromCoroutine(self._take_when_settled(request))
+        if self._is_late(now, request) and bank.is_scarce(now, name):
+            return fail(self._refusal(name, bank.return_in_s(now, name)))
         if bank.take(now, name):
             return None
         if self.keeper.is_dry(now, name):
@@ -124,6 +127,12 @@
         else:
             self._batches.give_back(now, name)
 
+    async def _take_when_settled(self, request: PlacementRequest) -> None:
+        """Let a call wait until the gateways that have just started have met."""
+        while settling_s := self.keeper.settling_s(self._clock()):
+            await self._tasks.sleep(min(settling_s, TICK_S))
+        await (self.admit(request) or succeed(None))
+
     async def _take_after_loan(self, name: WorkspaceName) -> None:
         await self.keeper.loan(name)
         now = self._clock()
@@ -136,16 +145,20 @@
     # Batches
 
     def _take_from_batch(
-        self, now: float, name: WorkspaceName
+        self, now: float, request: PlacementRequest
     ) -> Deferred[None] | None:
+        name = request.workspace
+        if self._is_late(now, request) and self._batches.is_scarce(now, name):
+            return fail(self._refusal(name, LATE_RETURN_S))
         if self._batches.take(now, name):
             return None
         wait_s = self._batches.refused_for_s(now, name)
         if wait_s:
             return fail(self._refusal(name, wait_s))
-        return Deferred.fromCoroutine(self._take_after_draw(name))
+        return Deferred.fromCoroutine(self._take_after_draw(request))
 
-    async def _take_after_draw(self, name: WorkspaceName) -> None:
+    async def _take_after_draw(self, request: PlacementRequest) -> None:
+        name = request.workspace
         waiting: Deferred[None] = Deferred()
         if name in self._waiting_by_workspace:
             self._waiting_by_workspace[name].append(waiting)
@@ -159,6 +172,9 @@
         now = self._clock()
         if self._batches.take_again(now, name):
             return
+        if self.keeper.settling_s(now):
+            await self._take_when_settled(request)
+            return
         wait_s = self._batches.refused_for_s(now, name)
         if wait_s:
             raise self._refusal(name, wait_s)
@@ -206,12 +222,17 @@
         _, grant = result.grants[0]
         if grant.zone:
             self._allotment = None
+        is_settling = self.keeper.settling_s(now) > 0
         for name in wanted:
             count = grant.granted.get(name, 0)
             if count:
                 expires_at = result.sent_at + grant.valid_s
                 self._batches.add(now, name, count, expires_at)
-            elif name in grant.waits and self._waiting_by_workspace[name]:
+            elif (
+                name in grant.waits
+                and self._waiting_by_workspace[name]
+                and not is_settling
+            ):
                 # A batch that nobody waits for may have been refused for others' sake.
                 wait_s = grant.waits[name]
                 self._batches.note_refusal(now, name, REFUSAL_HOLD_S, wait_s)
@@ -238,6 +259,14 @@
         if expired:
             self._exchange.give_back(self.keeper.bank_member(now).address, expired)
 
+    @staticmethod
+    def _is_late(now: float, request: PlacementRequest) -> bool:
+        """Whether a call is past its target.
+
+        While a workspace is over its quota, another call can still be answered in time.
+        """
+        return request.target <= now
+
     def _refusal(self, name: WorkspaceName, wait_s: float) -> QuotaExceededError:
         self._refused[name] += 1
         self.refused_calls += 1
