Give a bank its start once in a window

Cause: a gateway that gives up the quotas of its zone and gets them back, as datagrams are lost, had the start of a bank again each time.

Change: within one window, it begins with nothing.

Conclusion: the bound does not depend on how often the bank moves.

--- a/features/daemon/quotas.feature
+++ b/features/daemon/quotas.feature
@@ -48,6 +48,8 @@
       | 30       | the gateways that keep the quotas are killed    |
       | 13       | the gateways that keep the quotas are cut off   |
       | 30       | the gateways that keep the quotas are cut off   |
+      | 13       | a tenth of the datagrams is lost                |
+      | 30       | a tenth of the datagrams is lost                |
       | 13       | all gateways are restarted at once              |
       | 30       | all gateways are restarted at once              |
 
--- a/features/steps/quota_fleet_steps.py
+++ b/features/steps/quota_fleet_steps.py
@@ -48,6 +48,11 @@
     fleet.cut_off |= set(fleet.keepers())
 
 
+@when("a tenth of the datagrams is lost")
+def step_loss(context):
+    context.fleet.lost_share = 0.1
+
+
 @when("all gateways are restarted at once")
 def step_restart(context):
     for name in list(context.fleet.sharings):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
@@ -83,6 +83,7 @@
         self._started_at = clock()
         self._settled_at = self._started_at + SETTLE_TIME_S
         self._beat_at = clock()
+        self._gave_up_at = -math.inf
         self.quotas: Mapping[WorkspaceName, Quota] = {}
         self._bank: QuotaBank | None = None
         self._ranked: list[Member] = [gossip.members.identity]
@@ -152,11 +153,17 @@
             if self._bank is not None:
                 log.info("another gateway keeps the quotas of the zone now")
                 self._bank = None
+                if not self.settling_s(now):
+                    self._gave_up_at = now
         elif self._bank is None:
             log.info("this gateway keeps the quotas of the zone now")
             # Gateways that have just started settle instead.
             handover_s = HANDOVER_S if now >= self._started_at + SETTLE_TIME_S else 0.0
-            self._bank = self.new_bank(now + handover_s, self._share())
+            # What a bank has at its start, it has once in a window.
+            has_start = now >= self._gave_up_at + self._terms.window_s
+            self._bank = self.new_bank(
+                now + handover_s, self._share(), has_start=has_start
+            )
         return self._bank
 
     def new_bank(
