Split notices of waiting calls that are too long for a datagram

Cause: a gateway with more than about 150 waiting calls would make the notice longer than a datagram may be; encoding it fails, and with it the notices to all other gateways.

Change: a notice names up to 100 calls.

--- a/features/daemon/waiting_calls_fleet.feature
+++ b/features/daemon/waiting_calls_fleet.feature
@@ -32,3 +32,11 @@
     Then the waiting call is placed within 0.15 s
     When 1 s passes in the zone
     Then the aggregator counts the running and the waiting calls
+
+  # Guards against notices that are too long for a datagram and end the work of others.
+  Scenario: Many calls of one gateway wait
+    When 1 further calls of priority 0 wait
+    And 300 more calls of its gateway wait
+    And 0.2 s passes in the zone
+    Then no notice of waiting calls is longer than 1400 bytes
+    And each of the waiting calls still waits at the aggregator
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -4,8 +4,11 @@
 
 from behave import given, step, then, when
 from simulated_admissions import SERVICE, AdmissionZone, Directory
+from twisted.internet.defer import Deferred
 
+from banyanshelf_core.datagrams import WaitingNotice
 from banyanshelf_core.model import LoadReport, UpstreamState
+from banyanshelf_wire.datagram import encode_datagram
 
 SETTLE_TIME_S = 0.02
 
@@ -289,3 +292,36 @@
 @then("the aggregator counts the running and the waiting calls")
 def step_counts_running(context):
     step_counts(context, len(context.running) + len(context.waiting))
+
+
+@when("{count:d} more calls of its gateway wait")
+def step_many_wait(context, count):
+    name = context.waiting[0].name
+    server = context.zone.sharings[context.zone.aggregator()]._server
+    link = server._gossip
+    context.notices = notices = []
+    send_to = link.send_to
+
+    def recorded(addresses, datagram):
+        if isinstance(datagram, WaitingNotice):
+            notices.append(datagram)
+        send_to(addresses, datagram)
+
+    link.send_to = recorded
+    # Placements that never come stand for calls with much time.
+    server._place = lambda *_request: Deferred()
+    for _ in range(count):
+        context.waiting.append(context.zone.place(name, 30.0))
+    context.zone.settle(SETTLE_TIME_S)
+
+
+@then("no notice of waiting calls is longer than {limit:d} bytes")
+def step_notice_size(context, limit):
+    assert context.notices
+    for notice in context.notices:
+        assert len(encode_datagram(notice)) <= limit
+
+
+@then("each of the waiting calls still waits at the aggregator")
+def step_still_waits(context):
+    assert not any(each.permit or each.error for each in context.waiting[1:])
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -49,6 +49,8 @@
 PLACEMENT_TIMEOUT_S = 0.06
 # Notices about calls that wait at the aggregator are repeated after this time.
 WAITING_NOTICE_PERIOD_S = 0.04
+# Numbers of calls in one notice, so that it fits into one datagram.
+CALLS_PER_NOTICE = 100
 # Two notices may be lost before the aggregator is taken to have lost a waiting call.
 WAITING_TIMEOUT_S = 0.13
 # A call of this age that its gateway no longer lists as in progress has ended, and the
@@ -267,7 +269,10 @@
             self._notice_task.stop()
         for calls in self._waiting_by_sender.values():
             address = next(iter(calls.values())).address
-            self._gossip.send_to([address], self._notice(list(calls)))
+            numbers = list(calls)
+            for begin in range(0, len(numbers), CALLS_PER_NOTICE):
+                notice = self._notice(numbers[begin : begin + CALLS_PER_NOTICE])
+                self._gossip.send_to([address], notice)
 
     def _wait_over(self, result: Any, query: PlacementQuery) -> Any:
         calls = self._waiting_by_sender.get(query.sender, {})
