--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -19,6 +19,7 @@
     on_time_probability,
 )
 from banyanshelf_core.placement.decisions import Placed, PlacementRequest, Refused
+from banyanshelf_core.placement.lent_room import MIN_GAIN_WITH_LOAN, ZoneState
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 
 # Calls that other gateways do not report are estimated and decay slowly; a slot counts
@@ -83,14 +84,19 @@
     )
 
 
+def zone_state(now: float, selector: PlacementSelector, waiting: int) -> ZoneState:
+    """Return the room of the local zone, with so many calls waiting for it."""
+    slots = in_flight = 0.0
+    for load in _usable_here(now, selector):
+        efficient = efficient_slots(load, selector.estimate.full_factor)
+        slots += efficient
+        in_flight += min(efficient, load.in_flight(now))
+    return ZoneState(slots, in_flight, waiting)
+
+
 def utilization(now: float, selector: PlacementSelector) -> float:
     """Return the share of the local zone's room that is in use."""
-    used = total = 0.0
-    for load in _usable_here(now, selector):
-        slots = efficient_slots(load, selector.estimate.full_factor)
-        used += min(slots, load.in_flight(now))
-        total += slots
-    return used / total if total else 1.0
+    return zone_state(now, selector, waiting=0).utilization
 
 
 def is_full(now: float, selector: PlacementSelector) -> bool:
@@ -144,12 +150,16 @@
     ]
     best = selector.fastest(candidates)
     left_s = request.target - now
-    if best is not None:
-        gain = on_time_probability(best[0], left_s) - on_time_probability(
-            local_s, left_s
-        )
-        if gain >= MIN_CROSS_ZONE_GAIN:
-            return selector.placed(now, best, len(candidates))
+    local_chance = on_time_probability(local_s, left_s)
+    lent = [each for each in candidates if selector.is_lent(now, each[1])]
+    for found, min_gain in (
+        (selector.fastest(lent), MIN_GAIN_WITH_LOAN),
+        (best, MIN_CROSS_ZONE_GAIN),
+    ):
+        if found is None:
+            continue
+        if on_time_probability(found[0], left_s) - local_chance >= min_gain:
+            return selector.placed(now, found, len(candidates))
     return Refused("no zone has room in time", 0.0)
 
 
--- a/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
+++ b/packages/banyanshelf-wire/src/banyanshelf_wire/datagram.py
@@ -15,6 +15,7 @@
     Greeting,
     LimitQuery,
     QuotaDraw,
+    RoomQuery,
     ZoneDigest,
 )
 from banyanshelf_core.errors import CodecError
@@ -50,7 +51,7 @@
             addresses = [row[1] for row in [datagram.sender, *datagram.members]]
         case ZoneDigest():
             addresses = [row[1] for row in datagram.members]
-        case LimitQuery() | QuotaDraw():
+        case LimitQuery() | QuotaDraw() | RoomQuery():
             addresses = [datagram.reply_to]
         case _:
             return
