--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_reader.py
@@ -110,6 +110,11 @@
         except httptools.HttpParserError as error:
             if self.error is None:
                 self._refuse(400, f"malformed request: {error}")
+        if self.error is None:
+            try:
+                self._add_body_parts()
+            except RequestError:
+                return
         is_unfinished = (was_in_head and self._in_head) or (
             was_in_body and self._in_body
         )
@@ -169,11 +174,8 @@
             self.expects_continue = True
 
     def on_body(self, data: bytes) -> None:
-        """Add a part of the body (called by httptools)."""
-        self._body_bytes += len(data)
-        self.expects_continue = False
-        self._check_body_size(self._body_bytes)
-        self._body.append(data)
+        """Add a part of the body (called by httptools, once for each chunk)."""
+        self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """Queue the complete request (called by httptools)."""
@@ -181,6 +183,7 @@
         self.expects_continue = False
         if self.error is not None:
             return
+        self._add_body_parts()
         if self._parser.should_upgrade():
             self._abort(400, "protocol upgrades are not supported")
         method = self._parser.get_method().decode("ascii")
@@ -212,6 +215,17 @@
             + self._body_bytes
         )
 
+    def _add_body_parts(self) -> None:
+        """Add what has been parsed at once, as there may be thousands of chunks."""
+        if not self._body_parts:
+            return
+        data = b"".join(self._body_parts)
+        self._body_parts.clear()
+        self.expects_continue = False
+        self._body_bytes += len(data)
+        self._check_body_size(self._body_bytes)
+        self._body.append(data)
+
     def _check_body_size(self, size: int) -> None:
         limit = self._limits.body_bytes
         if size > limit:
@@ -273,6 +287,7 @@
         self._headers: list[Header] = []
         self._value_by_name: dict[bytes, bytes] = {}
         self._body = RequestBody()
+        self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
         self._header_count = 0
