Show that a body of the largest size is served on a small machine

Cause: A bound on memory must not refuse what the limits allow.

Conclusion: A single request inside the limits is served.

--- a/features/steps/client_crowd.py
+++ b/features/steps/client_crowd.py
@@ -51,6 +51,7 @@
         self.left = deque(memoryview(part) for part in parts if part)
         self.piece_bytes = piece_bytes
         self.is_answered = self.is_over = False
+        self.answer = b""
 
     def receive(self):
         try:
@@ -59,7 +60,8 @@
             return
         except OSError:
             data = b""
-        self.is_answered = self.is_answered or bool(data)
+        self.answer += data
+        self.is_answered = bool(self.answer)
         self.is_over = self.is_over or not data
 
     def send(self):
--- a/features/steps/untrusted_client_steps.py
+++ b/features/steps/untrusted_client_steps.py
@@ -35,6 +35,7 @@
 
     def __init__(self, folder, upstreams, memory_mb, descriptors):
         super().__init__(folder, upstreams)
+        self.body_bytes = BODY_BYTES
         with (self.folder / "gateway-1.toml").open("a") as settings:
             settings.write(
                 f"[localNode.limits]\nmemoryMb = {memory_mb}\n"
@@ -45,7 +46,7 @@
         self.version += 1
         marker = ["a.example", f"/v{self.version}/", "safe", 5000, 2000, "s"]
         record = configuration(self.version, *routes, marker)
-        record["limits"]["bodyBytes"] = BODY_BYTES
+        record["limits"]["bodyBytes"] = self.body_bytes
         self.write({"op/config": record})
 
 
@@ -67,6 +68,7 @@
         """Start anew, so that the peak of the memory is that of one scenario."""
         self.process.kill()
         self.process.start()
+        self.site.body_bytes = BODY_BYTES
         wait_until(partial(is_ready, GATEWAYS[0]), GATEWAYS[0])
         self.site.configure(SAFE, UNSAFE)
         self.site.wait_applied()
@@ -132,6 +134,28 @@
     context.target.restart()
 
 
+@given("a limit of {size:d} bytes on bodies")
+def step_body_limit(context, size):
+    context.target.site.body_bytes = size
+    context.target.site.configure(SAFE, UNSAFE)
+    context.target.site.wait_applied()
+
+
+@when("one client sends a body of {size:d} bytes")
+def step_one_body(context, size):
+    target = context.target
+    parts = wire_parts("whole bodies", target.head % (1, 1), size, is_complete=True)
+    context.crowd = Crowd(target.address, target.process.process.pid, [parts], "one")
+    context.add_cleanup(context.crowd.close)
+    context.crowd.send_all(1)
+
+
+@then("its request is answered with {status:d}")
+def step_one_answer(context, status):
+    [client] = context.crowd.clients
+    assert client.answer.startswith(f"HTTP/1.1 {status}".encode()), client.answer
+
+
 @when("{count:d} clients send {kind}")
 def step_crowd(context, count, kind):
     target = context.target
