--- a/features/daemon/call_failures.feature
+++ b/features/daemon/call_failures.feature
@@ -30,6 +30,10 @@
       | run of a call whose crashes were noticed while it waited | 3 | hold_permits >> GET /a >> others_mark GET >> grant | answer 503 not_run; sent 0; released cancelled |
       | hedge of a call whose crashes were noticed meanwhile | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> grant >> expect sent 1 >> 200 ok | answer 200 ok; decisions hedge=0 |
       | call left without an end by a refused hedge      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> others_mark GET >> cut >> grant | answer 503 unknown; sent 1 |
+      | third upstream for two attempts, hedge first     | 3 | text max_attempts = 2 >> warm >> GET /a >> hold_permits >> wait 0.02 >> cut >> grant >> expect sent 2 >> 200 ok | answer 200 ok; decisions hedge=1; released_last 3 cut cancelled answered |
+      | third upstream for two attempts, retry first     | 3 | text max_attempts = 2 >> warm >> GET /a >> hold_permits >> wait 0.02 >> cut >> grant_one -1 >> expect sent 2 >> grant >> expect sent 2 >> 200 ok | answer 200 ok; decisions hedge=0; released_last 3 cut cancelled answered |
+      | call whose retry waits when its hedge fails      | 3 | warm >> GET /a >> hold_permits >> wait 0.02 >> 500 bad >> grant_one 0 >> 500 bad >> expect nothing >> grant >> 200 ok | answer 200 ok; sent 3 |
+      | second run at one upstream                       | 2 | warm >> GET /a >> hold_permits >> wait 0.02 >> 500 bad >> grant >> expect sent 2 >> 200 ok | answer 200 ok; sent 2 |
       | run at an upstream in a pause                    | 2 | POST /a x >> not_run Retry-After: 0.25\r\n >> 200 ok >> POST /a y >> expect sent 3 >> 200 ok >> wait 0.3 >> POST /a z >> 200 ok | sent 4; released shed answered cancelled answered answered |
       | wait of a caller while all upstreams are in a pause | 1 | POST /a x >> not_run Retry-After: 3\r\n >> POST /a y | answer 503 not_run; sent 1 |
       | probe of an upstream in a pause                  | 1 | POST /a x >> not_run Retry-After: 3\r\n >> probe_paused | sent 1 |
@@ -86,6 +90,28 @@
       | a streamed answer          | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> long 100000 | 2 |
       | a cut streamed answer      | upstream HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n >> long 200000 >> cut | 1 |
 
+  # Guards against crashes that are not noticed because the upstream went silent, and
+  # against blame for requests whose upstreams are merely slow.
+  Scenario Outline: A request that was not answered is marked <times> after <events>
+    Given a data path with upstream_count=2
+    When these data path events happen: "<events>"
+    Then the data path shows "marks <times>"
+
+    Examples:
+      | times | events |
+      | 1 | POST /a bad >> silence >> wait 2.1 >> probe >> wait 1.1 |
+      | 1 | POST /a bad >> silence >> wait 2.1 >> refuse 1 >> GET /b |
+      | 1 | GET /a >> silence >> wait 0.5 >> gone >> another >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> upstream HTTP/1.1 000 Any\r\n\r\n |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 503 ill |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> probe >> 200 ok >> probe >> wait 1.1 |
+      | 0 | warm >> GET /a >> silence >> wait 0.02 >> 200 ok >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 1.95 >> heard >> wait 0.1 >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> silence >> wait 2.1 >> wait 0.1 >> heard >> probe >> wait 1.1 |
+      | 0 | hold_permits >> GET /a >> wait 2.1 >> probe >> wait 1.1 |
+      | 0 | POST /a bad >> upstream HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n >> wait 2.1 >> probe >> wait 1.1 |
+
   # Guards against a member that never learns of what happened while it had no link.
   Scenario Outline: A member whose link comes up is told of <what>
     Given a data path with upstream_count=3
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -314,6 +314,10 @@
     ),
     "hold_permits": lambda c: setattr(c.path.permits, "is_holding_back", True),
     "grant": lambda c: (c.path.permits.grant_held(), c.path.settle()),
+    "grant_one": lambda c, at: (c.path.permits.grant_one(int(at)), c.path.settle()),
+    "heard": lambda c: setattr(
+        c.path.permits, "last_heard_at", c.path.reactor.seconds()
+    ),
     "hold_record": lambda c: setattr(c.path.claims, "record_waiter", Deferred()),
     "record": lambda c: c.path.claims.record_waiter.callback(None),
     "gone": lambda c: c.caller.cut(),
@@ -335,6 +339,12 @@
     return f"{status} {problem.get('outcome', 'no outcome')}"
 
 
+def show_released_last(context, expected):
+    """Check the results of the last attempts, whose number comes first."""
+    count, *results = expected.split()
+    return context.path.permits.released[-int(count) :] == results
+
+
 def show_header(context, expected):
     name, _, value = expected.partition("=")
     return split_answers(context.caller.value())[-1][1].get(name.lower(), "") == value
@@ -361,6 +371,7 @@
 
 WITH_ARGUMENT = {
     "received_most",
+    "released_last",
     "header",
     "decisions",
     "got",
@@ -385,6 +396,7 @@
     "priorities": lambda c: " ".join(
         dict.fromkeys(str(each.priority) for each in c.path.permits.requests)
     ),
+    "draws": lambda c: str(c.path.permits.requests[-1].counts_toward_quota),
     "claims": lambda c: str(len({each[1:3] for each in c.path.claims.claims})),
     "connections": lambda c: str(len(c.path.upstream_transports)),
     "open": lambda c: str(
--- a/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/datagrams.py
@@ -184,8 +184,9 @@
 class LimitQuery(msgspec.Struct, array_like=True, tag=9, frozen=True):
     """Asks the keeper of an upstream's limit for one request.
 
-    ``limit`` is what the sender knows. A gateway that is not the keeper forwards the
-    query once; the answer goes to ``reply_to``.
+    ``limit`` is what the sender knows; with ``is_cold``, it is that of a cold upstream.
+    A gateway that is not the keeper forwards the query once; the answer goes to
+    ``reply_to``.
     """
 
     reply_to: str
@@ -194,6 +195,7 @@
     limit: LimitRow
     is_probe: bool
     is_forwarded: bool = False
+    is_cold: bool = False
 
 
 class LimitReply(msgspec.Struct, array_like=True, tag=10, frozen=True):
@@ -234,8 +236,8 @@
 class UpstreamStatement(msgspec.Struct, array_like=True, tag=13, frozen=True):
     """What an upstream has said of itself in an answer to the sender.
 
-    It concerns one incarnation: that the upstream is leaving, or that it wants no
-    requests for ``pause_s``.
+    It concerns one incarnation: that the upstream is leaving, that it wants no requests
+    for ``pause_s``, or that it is cold for ``cold_s``.
     """
 
     sender: MemberId
@@ -244,6 +246,25 @@
     incarnation: int
     is_leaving: bool
     pause_s: Seconds = 0.0
+    cold_s: Seconds = 0.0
+
+
+class WaitingNotice(msgspec.Struct, array_like=True, tag=20, frozen=True):
+    """Says that the aggregator has queued calls of the receiver, and still has them.
+
+    It is repeated while they wait; a gateway that hears nothing more of a call places
+    it itself.
+    """
+
+    sender: MemberId
+    numbers: list[int]
+
+
+class PlacementWithdrawal(msgspec.Struct, array_like=True, tag=21, frozen=True):
+    """Says that the sender needs no placement of this call any more."""
+
+    sender: MemberId
+    number: int
 
 
 Counts = dict[WorkspaceName, Count]
@@ -280,6 +301,31 @@
     valid_s: Seconds = 0.0
 
 
+class RoomQuery(msgspec.Struct, array_like=True, tag=24, frozen=True):
+    """Asks another zone for room for calls of ``services``.
+
+    A gateway that places no calls forwards the query once to the one that places its
+    calls; the answer goes to ``reply_to``.
+    """
+
+    reply_to: str
+    sender: MemberId
+    services: list[ServiceName]
+    is_forwarded: bool = False
+
+
+class RoomOffer(msgspec.Struct, array_like=True, tag=25, frozen=True):
+    """Answers :class:`RoomQuery` for the zone of the sender.
+
+    ``calls_by_service`` is how many calls the receiver may send until the next answer,
+    and ``reports`` are the loads of upstreams that have room.
+    """
+
+    zone: str
+    calls_by_service: dict[ServiceName, Count]
+    reports: dict[UpstreamId, ReportRow] = {}
+
+
 Datagram = (
     LoadUpdate
     | Greeting
@@ -294,6 +340,10 @@
     | DepartureNotice
     | CrashDigest
     | UpstreamStatement
+    | RoomQuery
+    | RoomOffer
+    | WaitingNotice
+    | PlacementWithdrawal
     | QuotaDraw
     | QuotaGrant
 )
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_services.py
@@ -42,6 +42,9 @@
 REFUSAL_WINDOW_S = 2.0
 REFUSALS_BEFORE_NOTICE = 2
 POOL_SWEEP_INTERVAL_S = 10.0
+# An upstream whose load report is newer has not gone silent. Under overload, this saves
+# a health check for each call that expires.
+RECENT_REPORT_S = 0.2
 
 
 class ServiceState:
@@ -108,11 +111,14 @@
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._refusals_by_upstream: dict[UpstreamId, list[float]] = {}
         self._note_load_report = getattr(permits, "note_load_report", None)
+        self._note_cold = getattr(permits, "note_cold", None)
         self._note_pause = getattr(permits, "note_pause", None)
         self._pauses = UpstreamPauses()
         self._rng = rng
         self._unix_time = time.time
         self._note_request_limit = getattr(permits, "note_request_limit", None)
+        self._check_health = getattr(permits, "check_health", None)
+        self._heard_at = getattr(permits, "heard_at", None)
         self._sweep_call: Any = None
         # Whether a key that was taken away some time ago would be refused by now
         self.are_keys_current: Callable[[], bool] = lambda: True
@@ -186,6 +192,29 @@
         self.metrics.count("signal.cut")
         self.crashes.record_cut(upstream_id, fingerprint, request_id)
 
+    def attempt_silent(
+        self, upstream: Upstream, fingerprint: str, request_id: str, sent_at: float
+    ) -> None:
+        """Handle a request that was sent and got no byte of an answer in time.
+
+        A health check shows whether the upstream is merely slow.
+        """
+        if self.now() - self._last_heard_at(upstream.id) < RECENT_REPORT_S:
+            return
+        self.crashes.record_silence(upstream, fingerprint, request_id, sent_at)
+        if self._check_health is not None:
+            self._check_health(upstream)
+
+    def upstream_unanswered(self, upstream_id: UpstreamId) -> None:
+        """Handle a connection attempt or a health check without any answer."""
+        heard_at = self._last_heard_at(upstream_id)
+        self.crashes.record_unanswered_check(upstream_id, heard_at)
+
+    def _last_heard_at(self, upstream_id: UpstreamId) -> float:
+        if self._heard_at is None:
+            return -math.inf
+        return float(self._heard_at(upstream_id))
+
     def head_received(self, upstream: Upstream, head: AnswerHead) -> None:
         """Read what the head of an answer to a call or a probe says of its upstream.
 
@@ -201,9 +230,11 @@
             self.metrics.count("signal.misdirected")
             self._directory.report_leaving(upstream_id, "another instance answered")
             return
+        self.crashes.guard.record_upstream_answer(upstream_id)
         self._note_limit(upstream_id, head)
         self._note_load(upstream_id, head)
         self._read_pause(upstream, head)
+        self._read_cold(upstream, head)
         if self.dialect.is_draining(head):
             self.metrics.count("signal.draining")
             self._directory.report_leaving(upstream_id, "draining")
@@ -224,6 +255,11 @@
         if self._note_pause is not None:
             self._note_pause(upstream, pause_s)
 
+    def _read_cold(self, upstream: Upstream, head: AnswerHead) -> None:
+        cold_s = self.dialect.cold_s(head)
+        if cold_s is not None and self._note_cold is not None:
+            self._note_cold(upstream, cold_s)
+
     def paused_for_s(self, upstream: Upstream) -> float:
         """Return for how long an upstream has asked this gateway for no requests."""
         return max(0.0, self._pauses.until(upstream) - self.now())
@@ -288,6 +324,7 @@
         self.crashes.record_cut(upstream_id)
         if kind == "closed":
             return
+        self.upstream_unanswered(upstream_id)
         now = self.now()
         times = self._refusals_by_upstream.setdefault(upstream_id, [])
         times[:] = [time for time in times if now - time <= REFUSAL_WINDOW_S]
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_keeper.py
@@ -31,7 +31,7 @@
 # Borrowed requests that are not used within this time are lost.
 LOAN_VALID_S = 0.5
 # Banks that had nothing are not asked again for this long.
-DRY_HOLD_S = 0.1
+DRY_HOLD_S = 0.15
 # A gateway that has not answered is not asked again for this long. By then, one that
 # was lost has been removed from the members.
 SILENCE_HOLD_S = 2.0
@@ -80,8 +80,10 @@
         self._exchange = exchange
         self._rng = rng
         self._clock = clock
-        self._settled_at = clock() + SETTLE_TIME_S
+        self._started_at = clock()
+        self._settled_at = self._started_at + SETTLE_TIME_S
         self._beat_at = clock()
+        self._gave_up_at = -math.inf
         self.quotas: Mapping[WorkspaceName, Quota] = {}
         self._bank: QuotaBank | None = None
         self._ranked: list[Member] = [gossip.members.identity]
@@ -151,9 +153,17 @@
             if self._bank is not None:
                 log.info("another gateway keeps the quotas of the zone now")
                 self._bank = None
+                if not self.settling_s(now):
+                    self._gave_up_at = now
         elif self._bank is None:
             log.info("this gateway keeps the quotas of the zone now")
-            self._bank = self.new_bank(now + HANDOVER_S, self._share())
+            # Gateways that have just started settle instead.
+            handover_s = HANDOVER_S if now >= self._started_at + SETTLE_TIME_S else 0.0
+            # What a bank has at its start, it has once in a window.
+            has_start = now >= self._gave_up_at + self._terms.window_s
+            self._bank = self.new_bank(
+                now + handover_s, self._share(), has_start=has_start
+            )
         return self._bank
 
     def new_bank(
