--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/running_call.py
@@ -12,7 +12,7 @@
 from banyanshelf_daemon.answer_relay import AnswerRelay
 from banyanshelf_daemon.attempt import Attempt
 from banyanshelf_daemon.call_base import DEADLINE_MARGIN_S
-from banyanshelf_daemon.call_results import DEFAULT_RETRY_AFTER_S, ResolvableCall
+from banyanshelf_daemon.call_results import DEFAULT_RETRY_AFTER_S
 from banyanshelf_daemon.http_message import Answer, AnswerHead, header_value
 from banyanshelf_daemon.interfaces import (
     NotAdmittedError,
@@ -20,13 +20,14 @@
     QuotaExceededError,
 )
 from banyanshelf_daemon.problem import PROXY_NAME
+from banyanshelf_daemon.sending_checks import CheckedCall
 
 # Start of the Proxy-Status value if the upstream relays the problem answer of another
 # gateway, which has already used up its retries.
 RELAYED_PROXY_STATUS = f"{PROXY_NAME}; error=".encode()
 
 
-class RunningCall(ResolvableCall):
+class RunningCall(CheckedCall):
     """A call that is idempotent or has no idempotency key."""
 
     def run(self) -> None:
@@ -243,15 +244,6 @@
             return True
         return self._is_in_progress()
 
-    def _has_attempts_left(self) -> bool:
-        """Whether one more attempt may be sent, be it a retry or a hedged attempt.
-
-        Permits for both can be pending at the same time, so this is asked at the moment
-        of sending.
-        """
-        limit = self.route.max_attempts or self.route.service.max_attempts
-        return self._attempt_count < limit
-
     def _is_in_progress(self) -> bool:
         """Whether an attempt runs, or another one may still be sent."""
         if self._attempts:
@@ -259,10 +251,6 @@
         permits = (self._pending_permit, self._pending_hedge_permit)
         return self._has_attempts_left() and permits != (None, None)
 
-    def _is_used(self, permit: Permit) -> bool:
-        """Whether an attempt that was sent meanwhile went to the same upstream."""
-        return permit.upstream.id in self._used_upstreams
-
     def _on_timer(self) -> None:
         self._timer = None
         if self._hedge_at is not None and self.now() < self.deadline:
@@ -361,40 +349,3 @@
                 DEFAULT_RETRY_AFTER_S if problem.status == 503 else None,
             )
         return True
-
-    def _wants_no_requests(self, permit: Permit) -> bool:
-        """Whether the upstream of a permit is in a pause; it is not tried again then.
-
-        What chose the upstream may not know of the pause.
-        """
-        upstream = permit.upstream
-        left_s = self.services.paused_for_s(upstream)
-        if not left_s:
-            return False
-        self._used_upstreams |= {upstream.id}
-        self._shortest_pause_s = min(self._shortest_pause_s, left_s)
-        self.services.log.event(
-            "upstream wants no requests",
-            request_id=self.request_id,
-            upstream=upstream.id,
-            left_s=round(left_s, 3),
-        )
-        return True
-
-    def _left_quarantine_s(self) -> float | None:
-        crashes = self.services.crashes
-        if not crashes.guard.has_tracked_requests:
-            return None
-        return crashes.refused_for_s(self.fingerprint(), self.request_id)
-
-    def _is_quarantined(self) -> bool:
-        refused_for_s = self._left_quarantine_s()
-        if refused_for_s is None:
-            return False
-        self.finish_problem(
-            503,
-            "this request has crashed the servers that ran it; do not repeat it",
-            "http_request_denied",
-            refused_for_s,
-        )
-        return True
