--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -25,6 +25,11 @@
     Refused,
     RunningAttempt,
 )
+from banyanshelf_core.placement.lent_room import (
+    LOAN_VALIDITY_S,
+    MIN_GAIN_WITH_LOAN,
+    Loans,
+)
 from banyanshelf_core.placement.pace_model import PaceModel
 from banyanshelf_core.placement.upstream_load import NO_COLD_RULES, UpstreamLoad
 from banyanshelf_core.placement.work_estimate import WorkEstimate
@@ -102,6 +107,8 @@
         self.cold_rules = NO_COLD_RULES
         self.estimate = WorkEstimate()
         self.pace = PaceModel()
+        # What other zones lend to this gateway
+        self.loans = Loans()
 
     def set_upstreams(
         self, now: float, upstreams: Mapping[UpstreamId, Upstream]
@@ -164,6 +171,15 @@
             now - load.reported_at,
             is_same_zone,
             load.limit(now).per_s,
+            self.is_lent(now, load),
+        )
+
+    def is_lent(self, now: float, load: UpstreamLoad) -> bool:
+        """Whether another zone has lent room for calls to this upstream of its own."""
+        return (
+            load.upstream.zone != self._zone
+            and now - load.reported_at <= LOAN_VALIDITY_S
+            and self.loans.left(now, load.upstream.zone) > 0
         )
 
     def _refuse_without_upstream(
@@ -213,6 +229,8 @@
         load = self.loads_by_id.get(upstream_id)
         if load is None:
             return 0.0
+        if load.upstream.zone != self._zone:
+            self.loans.take(now, load.upstream.zone)
         load.own_calls += 1
         return load.advance(now, self.pace.mean_rate)
 
@@ -419,7 +437,8 @@
         """Return the fastest local upstream, or a remote one if it helps enough.
 
         Traffic between zones costs money, so a faster response alone does not justify
-        it; only a higher probability of answering in time does.
+        it; only a higher probability of answering in time does. Less is demanded where
+        another zone has lent room, as its load is known.
         """
         best_near = self.fastest(near)
         best_far = self.fastest(far)
@@ -433,7 +452,13 @@
         far_chance = on_time_probability(best_far[0], request.target - now)
         if far_chance - near_chance >= MIN_CROSS_ZONE_GAIN:
             return best_far
-        return best_near
+        best_lent = self.fastest([each for each in far if self.is_lent(now, each[1])])
+        if best_lent is None:
+            return best_near
+        lent_chance = on_time_probability(best_lent[0], request.target - now)
+        return (
+            best_lent if lent_chance - near_chance >= MIN_GAIN_WITH_LOAN else best_near
+        )
 
     def fastest(self, candidates: list[Candidate]) -> Candidate | None:
         """Return one of the fastest candidates, or None without any."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
@@ -132,4 +132,5 @@
 
 def _is_report_missing(found: Placed) -> bool:
     """Whether the load of an upstream in another zone is not known well enough."""
-    return not found.is_same_zone and found.report_age_s > MAX_REMOTE_REPORT_AGE_S
+    is_old = found.report_age_s > MAX_REMOTE_REPORT_AGE_S
+    return is_old and not (found.is_same_zone or found.is_lent)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -135,6 +135,11 @@
         """Return the number of calls that wait at this gateway."""
         return sum(len(each.calls) for each in self._queue_by_service.values())
 
+    def waiting_for(self, service_name: ServiceName) -> int:
+        """Return the number of calls that wait at this gateway for one service."""
+        queue = self._queue_by_service.get(service_name)
+        return 0 if queue is None else len(queue.calls)
+
     def place(
         self,
         service_name: ServiceName,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/service_loads.py
@@ -85,10 +85,14 @@
 
     def active_selectors(self) -> list[PlacementSelector]:
         """Return the selectors of the services that had a call recently."""
+        return [self.selector_by_service[name] for name in self.active_services()]
+
+    def active_services(self) -> list[ServiceName]:
+        """Return the services that had a call recently."""
         now = self._reactor.seconds()
         return [
-            selector
-            for service_name, selector in self.selector_by_service.items()
+            service_name
+            for service_name in self.selector_by_service
             if now <= self._active_until_by_service.get(service_name, 0.0)
         ]
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -61,6 +61,7 @@
 )
 from banyanshelf_daemon.request_limiter import RequestLimiter
 from banyanshelf_daemon.service_loads import ServiceLoads
+from banyanshelf_daemon.zone_loans import ZoneLoans
 
 TICK_INTERVAL_S = 0.025
 # A hedged attempt is planned so that this multiple of the usual service time, and the
@@ -166,13 +167,17 @@
             reactor, zone, self.loads, self._sharing, gossip, self._limiter, probe
         )
         self._placer = CallPlacer(reactor, self._prober, self._limiter)
+        metrics = metrics or Metrics(reactor)
         self._queues = CallQueues(
+            reactor, self._placer, self.loads, configuration, rng, metrics
+        )
+        self._zone_loans = ZoneLoans(
             reactor,
-            self._placer,
+            gossip,
             self.loads,
-            configuration,
-            rng,
-            metrics or Metrics(reactor),
+            self._sharing,
+            self._queues.waiting_for,
+            metrics,
         )
         self.quotas = QuotaLimiter(
             reactor,
@@ -190,12 +195,14 @@
         self.loads.start()
         self._ticker.start(TICK_INTERVAL_S)
         self._sharing.start()
+        self._zone_loans.start()
         self.quotas.start()
 
     def stop(self) -> None:
         """Stop the periodic tasks."""
         self._ticker.stop()
         self._sharing.stop()
+        self._zone_loans.stop()
         self._queues.stop()
         self._server.stop()
         self.quotas.stop()
