Let the kernel send the whole last answer

Change: Once the sending half is closed, a connection whose caller does not close is closed in order. It is aborted only while bytes are left to write.

Conclusion: A caller that reads slowly gets its whole answer.

--- a/features/daemon/caller_connections.feature
+++ b/features/daemon/caller_connections.feature
@@ -35,3 +35,12 @@
     And the limit on bodies is raised to 2000000 bytes
     And the caller sends a body of 1500000 bytes
     Then its body is accepted
+
+  # Guards against an answer that is cut by a reset, as the gateway waited only for the
+  # kernel to take the bytes and not for the caller to receive them.
+  Scenario: A caller that reads slowly gets the whole last answer
+    Given calls that take 0 s and are answered with 60000 bytes
+    When a caller with a small window connects
+    And the caller sends its last request and does not read
+    And the time to wait for the caller is over
+    Then the caller gets 60000 bytes
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -3,8 +3,10 @@
 from behave import given, then, when
 from planned_stop_steps import REQUEST, _Caller, step, step_until
 
+from banyanshelf_daemon.caller_connection import SLOW_READER_TIMEOUT_S
 from banyanshelf_daemon.request_reader import CallerLimits
 
+LAST_REQUEST = REQUEST[:-2] + b"Connection: close\r\n\r\n"
 WINDOW_BYTES = 4096
 ARRIVALS = 20
 
@@ -58,6 +60,22 @@
     context.callers = [caller]
 
 
+@when("the caller sends its last request and does not read")
+def step_last_request(context):
+    [caller] = context.callers
+    caller.socket.send(LAST_REQUEST)
+    context.callers = []
+    step_until(context, lambda: context.handler.calls)
+    step(context, 0.2)
+    context.callers = [caller]
+
+
+@when("the time to wait for the caller is over")
+def step_wait_over(context):
+    for connection in list(context.factory._connections):
+        connection.check_deadline(context.factory.now() + SLOW_READER_TIMEOUT_S)
+
+
 @when("the caller closes its connection")
 def step_close(context):
     context.callers.pop().socket.close()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
@@ -64,6 +64,7 @@
         self._is_serving = False
         self._is_closing = False
         self._is_lingering = False
+        self._is_write_closed = False
         self._is_read_paused = False
         self._dropped_bytes = 0
         # Start of the present wait for the caller; the limits that apply to it are read
@@ -88,7 +89,7 @@
         if self._is_closing:
             self._dropped_bytes += len(data)
             if self._dropped_bytes > LINGER_BYTES:
-                self.transport.abortConnection()
+                self._end_close()
             return
         if self._exchange is None and not (
             self._reader.received or self.is_write_paused
@@ -109,7 +110,8 @@
         self.transport.connectionLost(Failure(ConnectionDone()))
 
     def writeConnectionLost(self) -> None:  # noqa: N802
-        """Wait for the caller to close, as all bytes have been sent."""
+        """Wait for the caller to close, as the kernel has all bytes to send."""
+        self._is_write_closed = True
         self._closes_at = self.factory.now() + LINGER_S
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
@@ -221,7 +223,7 @@
         """Close a connection that has been idle, or slow to send or read, too long."""
         if self._is_closing:
             if now >= self._closes_at:
-                self.transport.abortConnection()
+                self._end_close()
             return
         waited_s = now - self._waits_since
         if self.is_write_paused:
@@ -338,6 +340,14 @@
         self._begin_close()
         self.transport.loseConnection()
 
+    def _end_close(self) -> None:
+        """Close without waiting for the caller any longer."""
+        if self._is_write_closed:
+            # An abort would discard what the kernel has not sent yet.
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
     def _begin_close(self) -> None:
         self._is_closing = True
         self._closes_at = self.factory.now() + SLOW_READER_TIMEOUT_S
