Displace closing connections only once their answer is sent

Cause: A connection counted as closing, and was the first to make room for another one, as soon as its last answer was handed to the transport. Calls that had run lost their answers when connections were at the limit.

Change: It makes room only after the transport has written all bytes.

Conclusion: An answer that has not left the process is never given up for a new connection.

--- a/features/daemon/caller_connections.feature
+++ b/features/daemon/caller_connections.feature
@@ -44,3 +44,13 @@
     And the caller sends its last request and does not read
     And the time to wait for the caller is over
     Then the caller gets 60000 bytes
+
+  # Guards against calls that have run and lose their answers to new connections.
+  Scenario: A connection with an unsent last answer does not make room for another one
+    Given calls that take 0 s and are answered with 60000 bytes
+    And at most 1 connection
+    When a caller with a small window connects
+    And the kernel takes few bytes of its answer at once
+    And the caller sends its last request and does not read
+    And another caller connects, and is refused with 503
+    Then the caller gets 60000 bytes
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,5 +1,7 @@
 """Steps for single connections of callers, on real sockets."""
 
+import socket
+
 from behave import given, then, when
 from planned_stop_steps import REQUEST, _Caller, step, step_until
 
@@ -70,6 +72,28 @@
     context.callers = [caller]
 
 
+@given("at most {count:d} connection")
+def step_max_connections(context, count):
+    context.factory._max_connections = count
+
+
+@when("the kernel takes few bytes of its answer at once")
+def step_small_buffer(context):
+    [connection] = context.factory._connections
+    handle = connection.transport.getHandle()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, WINDOW_BYTES)
+
+
+@when("another caller connects, and is refused with 503")
+def step_other_refused(context):
+    callers, context.callers = context.callers, [_Caller(context.port_number)]
+    [other] = context.callers
+    step_until(context, lambda: other.is_closed)
+    other.socket.close()
+    assert other.received.startswith(b"HTTP/1.1 503"), other.received
+    context.callers = callers
+
+
 @when("the time to wait for the caller is over")
 def step_wait_over(context):
     for connection in list(context.factory._connections):
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
@@ -200,11 +200,11 @@
     def displacement_rank(self) -> tuple[int, float] | None:
         """Return how soon this connection makes room for others, lowest first.
 
-        Callers that are waited for come first, and those that keep a connection for
-        their next request last; None while a request is served.
+        Connections whose last answer has been sent come first, and those that callers
+        keep for their next request last; None while a request is served or answered.
         """
         if self._is_closing:
-            return (0, self._closes_at) if self._is_lingering else None
+            return (0, self._closes_at) if self._is_write_closed else None
         if self._exchange is not None or self.is_write_paused:
             return None
         if not self._reader.is_idle:
