Keep connections on which a request may be on its way

Cause: At the limit of connections, one without an answer or with half a request made room however recently it was used, and was closed without an answer, also if its request was waiting in the kernel.

Change: A connection makes room once it has been unused for 1 s and has no unread bytes. It gets 503 first where a request has not been answered. If none makes room, the new connection is refused with 503.

Conclusion: A new caller is refused and may retry, instead of an older one that cannot know whether its request has run.

--- a/features/daemon/caller_connections.feature
+++ b/features/daemon/caller_connections.feature
@@ -54,3 +54,20 @@
     And the caller sends its last request and does not read
     And another caller connects, and is refused with 503
     Then the caller gets 60000 bytes
+
+  # Guards against connections that are closed without an answer, so that their callers
+  # cannot know whether the request has run.
+  Scenario: A connection that makes room before its first answer gets a refusal
+    Given at most 1 connection
+    When a caller connects, and sends nothing
+    And the connection is unused for 1 s
+    And another caller connects, and is admitted
+    Then the first caller is refused with 503
+
+  # Guards against honest requests that are lost as the gateway has not read them yet.
+  Scenario: A connection whose request waits in the kernel does not make room
+    Given at most 1 connection
+    When a caller connects, and sends nothing
+    And the connection is unused for 1 s
+    And the caller sends a request just before the limit is reached
+    Then the caller gets its answer
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -94,6 +94,38 @@
     context.callers = callers
 
 
+@when("the connection is unused for 1 s")
+def step_unused(context):
+    for connection in context.factory._connections:
+        connection._waits_since -= 1.0
+
+
+@when("another caller connects, and is admitted")
+def step_other_admitted(context):
+    context.callers.append(_Caller(context.port_number))
+    step_until(context, lambda: context.callers[0].is_closed)
+    assert not context.callers[1].is_closed
+
+
+@then("the first caller is refused with 503")
+def step_first_refused(context):
+    received = context.callers[0].received
+    assert received.startswith(b"HTTP/1.1 503"), received
+
+
+@when("the caller sends a request just before the limit is reached")
+def step_request_at_limit(context):
+    context.callers[0].send()
+    context.factory._displace_connections()
+
+
+@then("the caller gets its answer")
+def step_gets_answer(context):
+    [caller] = context.callers
+    step_until(context, lambda: caller.received.endswith(b"ok") or caller.is_closed)
+    assert caller.received.startswith(b"HTTP/1.1 200"), caller.received
+
+
 @when("the time to wait for the caller is over")
 def step_wait_over(context):
     for connection in list(context.factory._connections):
--- a/features/steps/datapath_support.py
+++ b/features/steps/datapath_support.py
@@ -82,6 +82,9 @@
     def connectionLost(self, reason):  # noqa: N802
         self.cut(reason.value)
 
+    def doWrite(self):  # noqa: N802
+        """Do nothing, as bytes are kept as soon as they are written."""
+
     def loseWriteConnection(self):  # noqa: N802
         # The other end closes once it has read everything.
         self.loseConnection()
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
@@ -36,6 +36,8 @@
 LINGER_BYTES = 16 * 1024 * 1024
 # Rank of connections that callers keep for their next requests; see displacement_rank.
 KEPT_RANK = 2
+# A request may be on its way on a connection that was used more recently.
+MIN_UNUSED_S = 1.0
 # Retry-After of requests that are refused for lack of memory or connections.
 BUSY_RETRY_AFTER_S = 1.0
 
@@ -201,19 +203,36 @@
         """Return how soon this connection makes room for others, lowest first.
 
         Connections whose last answer has been sent come first, and those that callers
-        keep for their next request last; None while a request is served or answered.
+        keep for their next request last; None while a request is served or answered,
+        or may be on its way.
         """
         if self._is_closing:
             return (0, self._closes_at) if self._is_write_closed else None
         if self._exchange is not None or self.is_write_paused:
             return None
-        if not self._reader.is_idle:
-            return 1, max(self._waits_since, self._holding.progressed_at)
-        return (KEPT_RANK if self._answer_count else 1), self._waits_since
+        if self._reader.is_idle:
+            rank = KEPT_RANK if self._answer_count else 1
+            used_at = self._waits_since
+        else:
+            rank, used_at = 1, max(self._waits_since, self._holding.progressed_at)
+        if self.factory.now() - used_at < MIN_UNUSED_S:
+            return None
+        return rank, used_at
 
-    def displace(self) -> None:
-        """Make room for another connection, which needs the descriptor at once."""
+    def displace(self) -> bool:
+        """Make room for another connection, which needs the descriptor at once.
+
+        Return False, and stay open, if more of a request has arrived meanwhile.
+        """
+        if not self._is_closing:
+            if has_unread_data(self.transport):
+                return False
+            if not (self._reader.is_idle and self._answer_count):
+                self._write_refusal(RequestError(503, "too many connections"))
+                # The kernel must have the refusal before the connection is closed.
+                self.transport.doWrite()
         self.transport.connectionLost(Failure(ConnectionDone()))
+        return True
 
     def refuse_for_memory(self, detail: str) -> None:
         """Refuse the request that is being received, for lack of memory."""
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -157,16 +157,17 @@
             for number, each in enumerate(connections)
             if (rank := each.displacement_rank()) is not None
         )
-        if not ranked:
-            return
-        (first_group, _), _ = ranked[0]
-        count = 1
-        if first_group < KEPT_RANK:
-            count += int(DISPLACED_SHARE * self._max_connections)
-        for (group, _), number in ranked[:count]:
-            if group == first_group:
-                self._displaced_count += 1
-                connections[number].displace()
+        displaced_group, remaining = None, 1
+        for (group, _), number in ranked:
+            if remaining == 0 or displaced_group not in (None, group):
+                return
+            if not connections[number].displace():
+                continue
+            if displaced_group is None and group < KEPT_RANK:
+                remaining += int(DISPLACED_SHARE * self._max_connections)
+            displaced_group = group
+            remaining -= 1
+            self._displaced_count += 1
 
     def _log_shortage(self) -> None:
         memory = self.memory
