Admit a new caller in place of heads that stop short

The bytes of the crowd were still unread when the new caller was accepted.

Change: A connection with part of a head makes room at any age if no other does, with 503.

Conclusion: Heads that stop short do not shut out callers, and connections without any bytes or with a body that arrives are kept for 1 s.

--- a/features/daemon/caller_requests.feature
+++ b/features/daemon/caller_requests.feature
@@ -51,9 +51,9 @@
       | connection held by a slow body         | bytes POST /a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n\r\nab >> wait 29 >> expect caller open >> wait 2 | answer 408 not_run; caller closed |
       | unbounded number of connections        | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> another | answer 503 not_run; caller closed |
       | caller shut out by an unused connection | wait 1 >> another >> bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> 200 one | bodies one; caller open |
-      | caller shut out by half a request      | bytes GET /1 HTTP/1.1\r\nHost: >> wait 1 >> another >> bytes GET /2 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> 200 two | bodies two; caller open |
+      | caller shut out by half a request      | bytes GET /1 HTTP/1.1\r\nHost: >> another >> bytes GET /2 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> 200 two | bodies two; caller open |
       | connection closed before its request could arrive | wait 0.9 >> another | answer 503 not_run; caller closed |
-      | connection closed in the middle of a request | bytes GET /1 HTTP/1.1\r\nHost: >> wait 0.9 >> another | answer 503 not_run; caller closed |
+      | connection closed in the middle of a request | bytes POST /1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n\r\nab >> wait 0.9 >> another | answer 503 not_run; caller closed |
       | pipelined answers out of order         | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: desk.example\r\n\r\n >> expect sent 1 >> 200 one >> 200 two | bodies one two; starts GET /2 |
       | refusal of a long pipeline             | pipeline 500 | sent 499; caller open |
       | answer lost before a malformed request | bytes GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\nBAD\r\n\r\n >> expect sent 1 >> 200 one | answer 400 not_run; sent 1; caller closed |
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
@@ -36,6 +36,8 @@
 LINGER_BYTES = 16 * 1024 * 1024
 # Rank of connections that callers keep for their next requests; see displacement_rank.
 KEPT_RANK = 2
+# Rank of connections that have sent part of a head within the last MIN_UNUSED_S.
+RECENT_HEAD_RANK = 3
 # A request may be on its way on a connection that was used more recently.
 MIN_UNUSED_S = 1.0
 # Retry-After of requests that are refused for lack of memory or connections.
@@ -79,12 +81,29 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._waits_since = self.factory.now()
-        if not self.factory.add(self):
-            # It is not swept, so it does not wait for its caller either.
-            self._write_refusal(RequestError(503, "too many connections"))
-            self._close_at_once()
+        if self.factory.add(self):
+            self._account_memory()
             return
-        self._account_memory()
+        # Connections with unread bytes cannot make room before these are read, which
+        # the reactor does in the present iteration.
+        if self.factory.retry_soon(self._retry_add):
+            self.transport.pauseProducing()
+        else:
+            self._refuse_connection()
+
+    def _retry_add(self) -> None:
+        if self._is_closing:
+            return
+        self.transport.resumeProducing()
+        if self.factory.add(self):
+            self._account_memory()
+        else:
+            self._refuse_connection()
+
+    def _refuse_connection(self) -> None:
+        # It is not swept, so it does not wait for its caller either.
+        self._write_refusal(RequestError(503, "too many connections"))
+        self._close_at_once()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse requests and serve them in order."""
@@ -202,9 +221,9 @@
     def displacement_rank(self) -> tuple[int, float] | None:
         """Return how soon this connection makes room for others, lowest first.
 
-        Connections whose last answer has been sent come first, and those that callers
-        keep for their next request last; None while a request is served or answered,
-        or may be on its way.
+        Connections whose last answer has been sent come first; those that callers keep
+        for their next request, and then those that have just sent part of a head, come
+        last. None while a request is served or answered, or may be on its way.
         """
         if self._is_closing:
             return (0, self._closes_at) if self._is_write_closed else None
@@ -216,7 +235,8 @@
         else:
             rank, used_at = 1, max(self._waits_since, self._holding.progressed_at)
         if self.factory.now() - used_at < MIN_UNUSED_S:
-            return None
+            # Heads are short: one that has stopped arriving may never end.
+            return (RECENT_HEAD_RANK, used_at) if self._reader.is_in_head else None
         return rank, used_at
 
     def displace(self) -> bool:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_server.py
@@ -64,6 +64,7 @@
         self.memory = memory or RequestMemory(settings.request_memory_bytes)
         self._max_connections = max_connections or settings.max_connections
         self._displaced_count = 0
+        self._retrying_count = 0
         self._logged_counts = (0, 0, 0)
         self.trust_internal_headers = trust_internal_headers
         self.calls_in_progress = 0
@@ -89,6 +90,21 @@
         """Return the time in seconds."""
         return float(self._reactor.seconds())
 
+    def retry_soon(self, retry: Callable[[], None]) -> bool:
+        """Call ``retry`` in the next iteration of the reactor, unless many wait for it.
+
+        Connections that wait take descriptors beyond the limit of connections.
+        """
+        if self._retrying_count > DISPLACED_SHARE * self._max_connections:
+            return False
+        self._retrying_count += 1
+        self._reactor.callLater(0, self._retry, retry)
+        return True
+
+    def _retry(self, retry: Callable[[], None]) -> None:
+        self._retrying_count -= 1
+        retry()
+
     def buildProtocol(self, _address: Any) -> CallerConnection:  # noqa: N802
         """Create the protocol of a new connection."""
         return CallerConnection(self)
