Avoid upstreams that reject calls with slots free

Cause: a rejection counted for nothing. An upstream that rejects a part of its calls though it has free slots looked idle and attracted more calls; each one cost an attempt. Callers whose attempts were all rejected were told to return after 1 s, mostly later than their target.

Change: rejections with slots free raise the expected time of an upstream for some seconds, by the time that its callers would lose; a full upstream rejects by right. Gateways of a small zone tell each other of them. A caller that upstreams have rejected without a time may return after an eighth of the time to its target.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -137,6 +137,18 @@
     When the placement sees "wait 30"
     Then calls with 200 ms left go to "a1 a2"
 
+  # Guards against an upstream that looks idle because it rejects calls, and attracts more.
+  Scenario: An upstream that rejects calls with slots free is avoided for some seconds
+    When the placement sees "fail a1 shed; ok a1; fail a1 shed; ok a1"
+    Then calls with 200 ms left go to "a2"
+    When the placement sees "wait 30"
+    Then calls with 200 ms left go to "a1 a2"
+
+  # Guards against a full upstream that stays without calls after its queue has drained.
+  Scenario: An upstream that rejects calls while it is full is used when it has room again
+    When the placement sees "begin a1; begin a1; begin a1; fail a1 shed; fail a1 shed; end a1; end a1; end a1"
+    Then calls with 200 ms left go to "a1 a2"
+
   # Guards against a negative time of work, with which no upstream could be chosen.
   Scenario: A call that ends after its upstream was started again gives no sample
     When the placement sees "wait 5; begin a1; restart a1; end a1; wait 5; begin a1; restart a1; end a1"
--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -89,6 +89,14 @@
     Then the client gets 503 with a Retry-After below 1.5 s
     And 2 requests have reached an upstream
 
+  # Guards against a caller that is told to return after its target, though another upstream
+  # may have room at once.
+  Scenario: A caller that upstreams have rejected may return well before its target
+    When a client sends an unsafe request with 400 ms left
+    And the upstream rejects it with 503
+    And the upstream rejects it with 503
+    Then the client gets 503 with a Retry-After below 0.1 s
+
   # Guards against a second attempt for a late answer where the route allows only one.
   Scenario: A route with one attempt gets no second attempt
     When a client sends a single-attempt request with 400 ms left
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -219,6 +219,8 @@
         wait_s = max(0.0, after - slots) * service_s / slots
         network_s = 0.0 if load.upstream.zone == self._zone else CROSS_ZONE_ROUND_TRIP_S
         failure_s = load.failure_share(now) * max(0.0, request.deadline - now)
+        # A rejected call can still be answered elsewhere, but hardly by its target.
+        failure_s += load.rejected_share(now) * max(0.0, request.target - now)
         return service_s + wait_s + network_s + failure_s
 
     def start_call(self, now: float, upstream_id: UpstreamId) -> float:
@@ -307,8 +309,15 @@
     def note_result(self, now: float, upstream_id: UpstreamId, kind: str) -> None:
         """Record how a call of any gateway ended."""
         load = self.loads_by_id.get(upstream_id)
-        if load is None or kind == AnswerKind.CANCELLED or kind == AnswerKind.SHED:
+        if load is None or kind == AnswerKind.CANCELLED:
             return
+        if kind == AnswerKind.SHED:
+            # A full upstream rejects calls by right. One that does so with free slots
+            # looks idle, and would attract all calls.
+            if load.in_flight(now) < load.upstream.slots:
+                load.note_rejection(now, rejected=True)
+            return
+        load.note_rejection(now, rejected=False)
         if kind == AnswerKind.REFUSED:
             # No server listens there. A health probe, not the failure history, decides
             # when the upstream is used again.
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/upstream_load.py
@@ -71,6 +71,8 @@
     _unattributed: float = 0.0
     _failure_share: float = 0.0
     _failure_at: float = 0.0
+    _rejected_share: float = 0.0
+    _rejected_at: float = 0.0
 
     @property
     def known_calls(self) -> int:
@@ -106,6 +108,21 @@
         age_s = now - self._failure_at
         return self._failure_share * math.exp(-age_s / FAILURE_DECAY_S)
 
+    def rejected_share(self, now: float) -> float:
+        """Return the share of recent calls that it rejected with slots free."""
+        if self._rejected_share < 0.01:
+            return 0.0
+        age_s = now - self._rejected_at
+        return self._rejected_share * math.exp(-age_s / FAILURE_DECAY_S)
+
+    def note_rejection(self, now: float, *, rejected: bool) -> None:
+        """Record whether the upstream rejected a call that it had a slot for."""
+        share = self.rejected_share(now)
+        self._rejected_share = share + FAILURE_WEIGHT * (
+            (1.0 if rejected else 0.0) - share
+        )
+        self._rejected_at = now
+
     def is_ejected(self, now: float) -> bool:
         """Whether the upstream is out of use after consecutive failures."""
         return self.needs_probe or now < self.ejected_until
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_results.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_results.py
@@ -21,6 +21,9 @@
 SHUTDOWN_RETRY_AFTER_S = 0.1
 # Told to callers if nothing better is known.
 DEFAULT_RETRY_AFTER_S = 1.0
+# A rejected caller may return after this share of the time to its target, which leaves
+# most of it for the answer.
+RETURN_SHARE_OF_TARGET = 1 / 8
 
 
 class ResolvableCall(CallState):
@@ -182,7 +185,21 @@
             503,
             "the upstream did not run the request",
             "destination_unavailable",
-            DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
+            self._early_return_s() if retry_after_s is None else retry_after_s,
+        )
+
+    def _early_return_s(self) -> float:
+        """Return when a caller may come back that upstreams have rejected.
+
+        Another upstream may have room at once, so that the answer can still come by the
+        target. Callers are spread, as an upstream may reject many together.
+        """
+        left_s = min(self.target, self.deadline) - self.now()
+        if left_s <= 0:
+            return DEFAULT_RETRY_AFTER_S
+        return min(
+            DEFAULT_RETRY_AFTER_S,
+            self.services.spread_return_s(RETURN_SHARE_OF_TARGET * left_s),
         )
 
     def _is_sent(self) -> bool:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -382,7 +382,7 @@
             )
             return
         self._publish_count(selector, sample.upstream)
-        if sample.kind not in (AnswerKind.CANCELLED, AnswerKind.SHED):
+        if sample.kind is not AnswerKind.CANCELLED:
             self._sharing.publish_result(sample.upstream, str(sample.kind))
 
     def note_load_report(self, upstream_id: UpstreamId, report: LoadReport) -> None:
