Lend only room that a lender knows and has not lent yet

A loan is good for the upstreams that it names, a withdrawn call returns its part, and a zone that answers gets nothing beyond it. Waiting calls are tried again with each loan. Loans take part only where calls wait for room.

Conclusion: without a queue, calls leave their zone as before.

--- a/features/core/lent_room.feature
+++ b/features/core/lent_room.feature
@@ -21,7 +21,7 @@
 
   Scenario Outline: What is lent fits into the free slots, however many ask
     Given a zone whose service has <slots> slots, <used> of them in use
-    When <borrowers> gateways of other zones ask for room within 0.1 s
+    When <borrowers> gateways of other zones ask for room in turn
     Then each of them may send <calls> calls
 
     Examples:
@@ -32,15 +32,21 @@
       | 40    | 40   | 1         | 0     |
       | 0     | 0    | 1         | 0     |
 
+  Scenario: What one gateway has been lent is not lent to another one too
+    Given a zone whose service has 40 slots, 14 of them in use
+    When 1 gateways of other zones ask for room in turn
+    And a second gateway asks for room as well
+    Then the second one may send 0 calls
+
   Scenario: A zone whose own calls wait lends nothing
     Given a zone whose service has 40 slots, 10 of them in use
     And 1 of its own calls waits
-    When 1 gateways of other zones ask for room within 0.1 s
+    When 1 gateways of other zones ask for room in turn
     Then each of them may send 0 calls
 
   Scenario: A borrower that was lost has no part of the room any more
     Given a zone whose service has 40 slots, 14 of them in use
-    When 2 gateways of other zones ask for room within 0.1 s
+    When 2 gateways of other zones ask for room in turn
     And only the first one asks 0.4 s later
     Then each of them may send 20 calls
 
--- a/features/daemon/zone_loans.feature
+++ b/features/daemon/zone_loans.feature
@@ -33,3 +33,16 @@
     And only the last gateway of zone "b" places calls
     When 0.6 s pass between the zones
     Then zone "a" may send 20 calls to zone "b" and 20 to zone "c"
+
+  Scenario: Nothing is lent of upstreams that are cold or whose load is not known
+    Given 30 calls in progress in zone "a", 0 in zone "b" and 30 in zone "c"
+    And 5 upstreams of zone "b" are cold and take 4 calls a second
+    And 2 upstreams of zone "b" report nothing
+    When 0.6 s pass between the zones
+    Then zone "a" may send 3 calls to zone "b" and 0 to zone "c"
+
+  Scenario: Where calls do not wait for room, none is borrowed
+    Given 30 calls in progress in zone "a", 5 in zone "b" and 5 in zone "c"
+    And the calls of the service do not wait for room
+    When 0.6 s pass between the zones
+    Then no zone has asked for room
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -26,7 +26,6 @@
     RunningAttempt,
 )
 from banyanshelf_core.placement.lent_room import (
-    LOAN_VALIDITY_S,
     MIN_GAIN_WITH_LOAN,
     Loans,
 )
@@ -49,9 +48,9 @@
 STUCK_WORK_FACTOR = 5
 # A running call is assumed to have at least this share of its expected work left.
 MIN_REMAINING_WORK_SHARE = 0.2
-# A call stays in its own zone if its on-time probability there is at least this.
+# Without a queue, a call stays in its zone if its on-time probability is this high.
 SUFFICIENT_PROBABILITY = 0.6
-# A call goes to another zone only if that raises its on-time probability by this much.
+# Without a loan, a call leaves its zone for this much more on-time probability.
 MIN_CROSS_ZONE_GAIN = 0.5
 # On-time probability as a function of expected time / remaining time: constant up to
 # MAX_PROBABILITY_TIME_SHARE, then falling linearly. It stays below 1 because the work
@@ -134,6 +133,7 @@
         if not near and not far:
             return self._refuse_without_upstream(now, request)
         if near:
+            far = [each for each in far if self.may_leave_for(now, each[1])]
             oldest = now - request.max_remote_report_age_s
             far = [
                 each
@@ -175,11 +175,16 @@
         )
 
     def is_lent(self, now: float, load: UpstreamLoad) -> bool:
-        """Whether another zone has lent room for calls to this upstream of its own."""
-        return (
-            load.upstream.zone != self._zone
-            and now - load.reported_at <= LOAN_VALIDITY_S
-            and self.loans.left(now, load.upstream.zone) > 0
+        """Whether another zone has lent room for a call to this upstream."""
+        return self.loans.covers(now, load.upstream.zone, load.upstream.id)
+
+    def may_leave_for(self, now: float, load: UpstreamLoad) -> bool:
+        """Whether a call may go to an upstream of another zone.
+
+        A zone that has said what it lends gets no more than that.
+        """
+        return self.is_lent(now, load) or not self.loans.has_answer(
+            now, load.upstream.zone
         )
 
     def _refuse_without_upstream(
@@ -231,16 +236,19 @@
         load = self.loads_by_id.get(upstream_id)
         if load is None:
             return 0.0
-        if load.upstream.zone != self._zone:
+        if self.is_lent(now, load):
             self.loans.take(now, load.upstream.zone)
         load.own_calls += 1
         return load.advance(now, self.pace.mean_rate)
 
-    def withdraw_call(self, upstream_id: UpstreamId) -> None:
+    def withdraw_call(self, now: float, found: Placed) -> None:
         """Uncount a call that has been started and was not sent."""
-        load = self.loads_by_id.get(upstream_id)
-        if load is not None:
-            load.own_calls = max(0, load.own_calls - 1)
+        load = self.loads_by_id.get(found.upstream.id)
+        if load is None:
+            return
+        if found.is_lent:
+            self.loans.give_back(now, found.upstream.zone)
+        load.own_calls = max(0, load.own_calls - 1)
 
     def end_call(
         self, now: float, work_class: str, progress_s: float, sample: AnswerSample
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/lent_room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/lent_room.py
@@ -10,10 +10,10 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from banyanshelf_core.model import MemberId
+from banyanshelf_core.model import MemberId, UpstreamId
 
 # Above this utilization the next calls have to wait for a slot at times.
 SHORT_UTILIZATION = 0.85
@@ -31,6 +31,8 @@
 # With a loan, a call leaves its zone for this much more probability to be in time.
 # Without one the load of other zones is known less well, and more is demanded.
 MIN_GAIN_WITH_LOAN = 0.15
+# No zone has room for more calls; a larger number is damaged.
+MAX_LOAN = 100_000
 
 
 class RoomNeed:
@@ -63,24 +65,6 @@
         return self.is_short
 
 
-class Borrowers:
-    """The gateways that have asked for room of one service lately."""
-
-    def __init__(self) -> None:
-        self._asked_at_by_id: dict[MemberId, float] = {}
-
-    def note(self, now: float, borrower: MemberId) -> None:
-        """Record that a gateway asks for room."""
-        self._asked_at_by_id[borrower] = now
-
-    def count(self, now: float) -> int:
-        """Return how many gateways share the room."""
-        for member_id, asked_at in list(self._asked_at_by_id.items()):
-            if now - asked_at > BORROWER_TIMEOUT_S:
-                del self._asked_at_by_id[member_id]
-        return len(self._asked_at_by_id)
-
-
 class ZoneState(NamedTuple):
     """Slots and calls of one service in a zone; ``waiting`` calls have no slot yet."""
 
@@ -94,58 +78,105 @@
         return min(1.0, self.in_flight / self.slots) if self.slots else 1.0
 
 
-def lendable_calls(state: ZoneState, borrowers: int, lenders: int) -> int:
-    """Return how many calls each borrower may send within one ``LOAN_PERIOD_S``.
+class _Loan(NamedTuple):
+    calls: int
+    expires_at: float
+    upstream_ids: frozenset[UpstreamId] = frozenset()
+
 
-    ``lenders`` is the number of gateways that lend the same room. A zone with waiting
-    calls of its own lends nothing.
+class Lender:
+    """What this gateway has lent of one service, by borrower.
 
     Example:
-        ``lendable_calls(ZoneState(40, 14, 0), borrowers=2, lenders=1)`` is 10: 26 slots
-        are free, 6 of them reserved.
+        ``lender.lend(now, "g7", ZoneState(40, 14, 0), lenders=1)`` is 20 for the only
+        borrower: 26 slots are free, 6 of them reserved.
 
     """
-    if state.waiting or not borrowers:
-        return 0
-    spare = state.slots * (1 - RESERVED_SHARE) - state.in_flight
-    return max(0, int(spare / (borrowers * lenders)))
 
-
-class _Loan(NamedTuple):
-    calls: int
-    expires_at: float
+    def __init__(self) -> None:
+        self._loan_by_borrower: dict[MemberId, _Loan] = {}
+        self._asked_at_by_borrower: dict[MemberId, float] = {}
+
+    def lend(
+        self, now: float, borrower: MemberId, state: ZoneState, lenders: int
+    ) -> int:
+        """Return how many calls a borrower may send until the next answer.
+
+        ``lenders`` is the number of gateways that lend the same room. A zone with
+        waiting calls of its own lends nothing. Valid loans count as used.
+        """
+        self._asked_at_by_borrower[borrower] = now
+        self._forget(now)
+        self._loan_by_borrower.pop(borrower, None)
+        if state.waiting:
+            return 0
+        spare = (state.slots * (1 - RESERVED_SHARE) - state.in_flight) / lenders
+        lent = sum(each.calls for each in self._loan_by_borrower.values())
+        part = min(spare / len(self._asked_at_by_borrower), spare - lent)
+        calls = max(0, int(part))
+        self._loan_by_borrower[borrower] = _Loan(calls, now + LOAN_VALIDITY_S)
+        return calls
+
+    def _forget(self, now: float) -> None:
+        for borrower, asked_at in list(self._asked_at_by_borrower.items()):
+            if now - asked_at > BORROWER_TIMEOUT_S:
+                del self._asked_at_by_borrower[borrower]
+        for borrower, loan in list(self._loan_by_borrower.items()):
+            if now >= loan.expires_at:
+                del self._loan_by_borrower[borrower]
 
 
 class Loans:
     """Room of one service that other zones have lent to this gateway.
 
+    A loan is good for the upstreams that its lender has named.
+
     Example:
-        ``loans.note(now, "zone-b", 3)`` records an answer, ``loans.take(now,
-        "zone-b")`` uses one of the three calls.
+        ``loans.record(now, "zone-b", 3, {"u1"})`` records an answer, and
+        ``loans.take(now, "zone-b")`` uses one of the three calls.
 
     """
 
     def __init__(self) -> None:
         self._loan_by_zone: dict[str, _Loan] = {}
 
-    def note(self, now: float, zone: str, calls: int) -> None:
+    def record(
+        self, now: float, zone: str, calls: int, upstream_ids: Iterable[UpstreamId]
+    ) -> None:
         """Record what a zone lends; this replaces what is left of its last loan."""
-        self._loan_by_zone[zone] = _Loan(calls, now + LOAN_VALIDITY_S)
+        expires_at = now + LOAN_VALIDITY_S
+        loan = _Loan(min(calls, MAX_LOAN), expires_at, frozenset(upstream_ids))
+        self._loan_by_zone[zone] = loan
 
-    def left(self, now: float, zone: str) -> int:
-        """Return the number of calls that may still be sent to a zone."""
+    def has_answer(self, now: float, zone: str) -> bool:
+        """Whether a zone has said lately what it lends, which may be nothing."""
         loan = self._loan_by_zone.get(zone)
-        if loan is None or now >= loan.expires_at:
-            return 0
-        return loan.calls
+        return loan is not None and now < loan.expires_at
+
+    def calls_left(self, now: float, zone: str) -> int:
+        """Return the number of calls that may still be sent to a zone."""
+        return self._loan_by_zone[zone].calls if self.has_answer(now, zone) else 0
+
+    def has_calls_left(self, now: float) -> bool:
+        """Whether any zone has lent more than was used."""
+        return any(self.calls_left(now, zone) for zone in self._loan_by_zone)
+
+    def covers(self, now: float, zone: str, upstream_id: UpstreamId) -> bool:
+        """Whether one more call to an upstream of a zone is covered by its loan."""
+        if not self.calls_left(now, zone):
+            return False
+        return upstream_id in self._loan_by_zone[zone].upstream_ids
 
     def take(self, now: float, zone: str) -> None:
         """Use one call of a zone's loan, if there is one."""
-        left = self.left(now, zone)
-        if left:
-            loan = self._loan_by_zone[zone]
-            self._loan_by_zone[zone] = loan._replace(calls=left - 1)
+        self._add(now, zone, -1)
+
+    def give_back(self, now: float, zone: str) -> None:
+        """Return a call that was not sent to a zone's loan."""
+        self._add(now, zone, 1)
 
-    def snapshot(self, now: float) -> Mapping[str, int]:
-        """Return the calls that may still be sent, by zone."""
-        return {zone: self.left(now, zone) for zone in self._loan_by_zone}
+    def _add(self, now: float, zone: str, calls: int) -> None:
+        if self.has_answer(now, zone):
+            loan = self._loan_by_zone[zone]
+            left = max(0, loan.calls + calls)
+            self._loan_by_zone[zone] = loan._replace(calls=left)
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -19,7 +19,11 @@
     on_time_probability,
 )
 from banyanshelf_core.placement.decisions import Placed, PlacementRequest, Refused
-from banyanshelf_core.placement.lent_room import MIN_GAIN_WITH_LOAN, ZoneState
+from banyanshelf_core.placement.lent_room import (
+    LOAN_VALIDITY_S,
+    MIN_GAIN_WITH_LOAN,
+    ZoneState,
+)
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
 
 # Calls that other gateways do not report are estimated and decay slowly; a slot counts
@@ -86,8 +90,35 @@
 
 def zone_state(now: float, selector: PlacementSelector, waiting: int) -> ZoneState:
     """Return the room of the local zone, with so many calls waiting for it."""
+    return _state_of(_usable_here(now, selector), now, selector, waiting)
+
+
+def lendable_loads(now: float, selector: PlacementSelector) -> list[UpstreamLoad]:
+    """Return the upstreams of the local zone that other zones may be told of.
+
+    What is known of them is recent, and they state no limit and are not cold: other
+    zones would not know of that.
+    """
+    return [
+        load
+        for load in _usable_here(now, selector)
+        if load.limit(now).per_s is None and now - load.reported_at <= LOAN_VALIDITY_S
+    ]
+
+
+def lendable_state(now: float, selector: PlacementSelector, waiting: int) -> ZoneState:
+    """Return the room of the upstreams that other zones may be told of."""
+    return _state_of(lendable_loads(now, selector), now, selector, waiting)
+
+
+def _state_of(
+    loads: Iterable[UpstreamLoad],
+    now: float,
+    selector: PlacementSelector,
+    waiting: int,
+) -> ZoneState:
     slots = in_flight = 0.0
-    for load in _usable_here(now, selector):
+    for load in loads:
         efficient = efficient_slots(load, selector.estimate.full_factor)
         slots += efficient
         in_flight += min(efficient, load.in_flight(now))
@@ -147,6 +178,7 @@
         each
         for each in _with_room(now, selector, request, selector.remote_loads())
         if each[1].reported_at >= oldest or each[1].stated_limit.per_s is not None
+        if selector.may_leave_for(now, each[1])
     ]
     best = selector.fastest(candidates)
     left_s = request.target - now
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_placer.py
@@ -111,7 +111,7 @@
             is_taken = not wait_s
         finally:
             if not is_taken:
-                selector.withdraw_call(upstream_id)
+                selector.withdraw_call(self._reactor.seconds(), found)
         return wait_s
 
     def _probe(self, selector: PlacementSelector, found: Placed) -> Deferred[None]:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -262,13 +262,15 @@
         per_s = self._rate(queue, selector)
         service_s = _service_time(now, selector)
         turns = queue.calls.turns(now, per_s, service_s)
+        # Each loan may serve calls that have found no room before.
+        has_loan = selector.loans.has_calls_left(now)
         for place, call in enumerate([*turns.in_time, *turns.late]):
             most_tries = 1 if place < len(turns.in_time) else MAX_TRIES_ELSEWHERE
-            if call.tries_elsewhere < most_tries:
+            if call.tries_elsewhere < most_tries or has_loan:
                 self._try_elsewhere(queue, selector, call, _wait_s(place, per_s))
         places = len(turns.in_time) + len(turns.late)
         for call, refused in turns.refused:
-            if call.tries_elsewhere < MAX_TRIES_ELSEWHERE:
+            if call.tries_elsewhere < MAX_TRIES_ELSEWHERE or has_loan:
                 self._try_elsewhere(queue, selector, call, _wait_s(places, per_s))
             if not call.is_held:
                 self._refuse(queue, call, refused)
@@ -318,12 +320,12 @@
         call: WaitingCall,
         reservation: Reservation,
     ) -> None:
+        now = self._reactor.seconds()
         result = queue.waiting_by_call.pop(call, None)
         if result is None:
             # The call was withdrawn while its placement was tried.
-            selector.withdraw_call(reservation.found.upstream.id)
+            selector.withdraw_call(now, reservation.found)
             return
-        now = self._reactor.seconds()
         queue.calls.remove(now, call, is_served=True)
         priority = call.request.priority
         self._metrics.count(f"{queue.metric}.placed.{priority}")
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -177,6 +177,7 @@
             self.loads,
             self._sharing,
             self._queues.waiting_for,
+            self._queues.is_enabled,
             metrics,
         )
         self.quotas = QuotaLimiter(
