Keep to the lower rate of a cold upstream at its keeper

Cause: A keeper that knew a stated limit ignored the rate in a query that calls the upstream cold. Until it had heard itself that the upstream was cold, it granted what the upstream states.

Change: For such a query the keeper takes the lower of the known limit and the queried one.

Conclusion: The views of the gateways may differ without overloading an upstream that has just started.

--- a/features/daemon/cold_upstreams.feature
+++ b/features/daemon/cold_upstreams.feature
@@ -55,3 +55,10 @@
     And callers make 120 calls to these for 5 s
     Then no cold upstream gets more requests in a second than it tolerates
     And the cold upstreams get requests
+
+  # Guards against a keeper that has not heard that an upstream is cold, and grants what
+  # the upstream states instead.
+  Scenario: A keeper that knows a stated limit keeps to the lower rate of a cold upstream
+    Given 1 gateways in 1 zones, with 2 upstreams that take 2 requests a second while cold
+    When an upstream states a limit of 50 requests a second
+    Then its keeper grants at most 11 queries in 1 s that call the upstream cold
--- a/features/steps/cold_fleet_steps.py
+++ b/features/steps/cold_fleet_steps.py
@@ -7,6 +7,7 @@
 from simulated_admissions import SERVICE, STEP_S, AdmissionZone
 from twisted.internet.defer import succeed
 
+from banyanshelf_core.datagrams import LimitQuery, LimitReply
 from banyanshelf_core.model import LoadReport, Upstream, UpstreamState
 from banyanshelf_core.replica import ORIGIN
 from banyanshelf_core.text import Service
@@ -202,3 +203,25 @@
     fleet = context.fleet
     share = fleet.placed / (fleet.placed + fleet.refused)
     assert share >= percent / 100, (fleet.placed, fleet.refused)
+
+
+@when("an upstream states a limit of {per_s:g} requests a second")
+def step_state_limit(context, per_s):
+    [admission] = context.fleet.sharings.values()
+    admission.note_request_limit("u1", per_s)
+
+
+@then("its keeper grants at most {most:d} queries in 1 s that call the upstream cold")
+def step_cold_queries(context, most):
+    fleet, replies = context.fleet, []
+    [admission] = fleet.sharings.values()
+    limiter = admission._limiter
+    limiter._gossip.send_to = lambda _addresses, datagram: replies.append(datagram)
+    for number in range(100):
+        row = (fleet.per_s, 0.0)
+        query = LimitQuery("127.0.0.9:1", number, "u1", row, False, is_cold=True)
+        limiter._on_query(query, "")
+        fleet.settle(0.01)
+    answers = [each for each in replies if isinstance(each, LimitReply)]
+    granted = sum(not each.wait_s for each in answers)
+    assert 0 < granted <= most, (granted, len(answers))
--- a/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/request_limit.py
@@ -35,6 +35,20 @@
 NO_STATEMENT = StatedLimit(None, -math.inf)
 
 
+def lower_limit(first: StatedLimit, second: StatedLimit) -> StatedLimit:
+    """Return the lower of two limits, the first if they are equal.
+
+    Example:
+        ``lower_limit(StatedLimit(None, 3.0), StatedLimit(2.0, 4.0))`` is the second.
+
+    """
+    if second.per_s is None:
+        return first
+    if first.per_s is None or second.per_s < first.per_s:
+        return second
+    return first
+
+
 def describe_limit(upstream_id: str, stated: StatedLimit) -> str:
     """Return the log line about a changed limit."""
     if stated.per_s is None:
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
@@ -16,7 +16,7 @@
 from banyanshelf_core.limit_keeper import KeeperSelector
 from banyanshelf_core.model import Member, MemberId, Upstream, UpstreamId
 from banyanshelf_core.placement.upstream_load import UpstreamLoad
-from banyanshelf_core.request_limit import StatedLimit
+from banyanshelf_core.request_limit import StatedLimit, lower_limit
 from banyanshelf_core.request_rate import RequestRates
 from banyanshelf_daemon.gossip_link import GossipLink
 from banyanshelf_daemon.service_loads import ServiceLoads
@@ -178,8 +178,7 @@
             zone = load.upstream.zone
             known = load.stated_limit if query.is_probe else load.limit(now)
             # This gateway may not have heard yet that the upstream is cold.
-            if not query.is_cold or known.per_s is not None:
-                stated = known
+            stated = lower_limit(known, stated) if query.is_cold else known
         keeper = self._keepers.select(query.upstream, zone)
         if self._is_self(keeper):
             reply = self._decide(query.upstream, zone, stated, query.is_probe)
