Read the sockets once more before a reply counts as lost

Cause: The reactor runs timers before it reads sockets. A gateway that had not run for a while took replies that lay in its socket for lost: it placed calls itself, and held upstreams back as their keeper seemed silent.

Change: Placement queries, queries to keepers and quota draws use a timer that lets the reactor read its sockets once before it expires.

Conclusion: A short stall of a process no longer costs a reply that has arrived in time.

--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -69,3 +69,9 @@
     When one gateway places a call
     And its upstream becomes slow
     Then the gateway is notified that the call is late
+
+  # Guards against a process that has not run for a while and takes a reply that lies in
+  # its socket for lost.
+  Scenario: A reply that has arrived in time is read by a gateway that stalls
+    When one gateway stalls for 0.1 s while the reply to its call arrives
+    Then the call is placed by the aggregator
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -325,3 +325,31 @@
 @then("each of the waiting calls still waits at the aggregator")
 def step_still_waits(context):
     assert not any(each.permit or each.error for each in context.waiting[1:])
+
+
+@when("one gateway stalls for {seconds:g} s while the reply to its call arrives")
+def step_stall(context, seconds):
+    zone, name = context.zone, _others(context)[0]
+    link, unread = zone.links[name], []
+    context.calls = [zone.place(name)]
+    link.datagramReceived = lambda *datagram: unread.append(datagram)
+    zone.settle(SETTLE_TIME_S)
+
+    def read_socket():
+        del link.datagramReceived
+        for datagram in unread:
+            link.datagramReceived(*datagram)
+
+    # All timers that are due run before the socket is read.
+    stall_s = seconds - SETTLE_TIME_S
+    zone.reactor.callLater(stall_s - 1e-6, read_socket)
+    zone.reactor.advance(stall_s)
+    zone.settle(SETTLE_TIME_S)
+
+
+@then("the call is placed by the aggregator")
+def step_placed_remotely(context):
+    [call] = context.calls
+    assert call.permit is not None, call.error
+    placed = context.zone.sharings[call.name].aggregator_placed_calls()
+    assert placed == [call.permit.number], (placed, call.permit)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_exchange.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/quota_exchange.py
@@ -14,6 +14,7 @@
 from banyanshelf_core.datagrams import QuotaDraw, QuotaGrant
 from banyanshelf_core.model import WorkspaceName
 from banyanshelf_daemon.gossip_link import GossipLink
+from banyanshelf_daemon.reply_timer import ReplyTimer
 
 DRAW_NUMBER_BITS = 48
 
@@ -75,12 +76,11 @@
         self._last_number += 1
         number = self._last_number
         self._pending_by_number[number] = pending
-        timer = self._reactor.callLater(timeout_s, pending.finish)
+        timer = ReplyTimer(self._reactor, timeout_s, pending.finish)
 
         def finished(result: Any) -> Any:
             self._pending_by_number.pop(number, None)
-            if timer.active():
-                timer.cancel()
+            timer.cancel()
             return result
 
         pending.done.addBoth(finished)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -43,6 +43,7 @@
     Permit,
     QuotaExceededError,
 )
+from banyanshelf_daemon.reply_timer import ReplyTimer
 
 # Within a zone a reply takes about 1 ms, and up to 30 ms more if upstreams of a remote
 # zone are probed first.
@@ -71,7 +72,7 @@
         self._reactor = reactor
         self._gossip = gossip
         self._pending_by_number: dict[int, Deferred[PlacementReply]] = {}
-        self._timer_by_number: dict[int, Any] = {}
+        self._timer_by_number: dict[int, ReplyTimer] = {}
         self._handle_late_reply: Callable[[int], None] = lambda number: None
         gossip.on_datagram(PlacementReply, self._on_reply)
         gossip.on_datagram(WaitingNotice, self._on_waiting)
@@ -112,16 +113,17 @@
             lambda _deferred: self._withdraw(aggregator, number)
         )
         self._pending_by_number[number] = result
-        timer = self._reactor.callLater(
-            PLACEMENT_TIMEOUT_S, self._expire, aggregator, number
+        timer = ReplyTimer(
+            self._reactor,
+            PLACEMENT_TIMEOUT_S,
+            lambda: self._expire(aggregator, number),
         )
         self._timer_by_number[number] = timer
 
         def finished(found: PlacementReply | Failure) -> PlacementReply | Failure:
             self._pending_by_number.pop(number, None)
             del self._timer_by_number[number]
-            if timer.active():
-                timer.cancel()
+            timer.cancel()
             return found
 
         return result.addBoth(finished)
@@ -141,8 +143,8 @@
     def _on_waiting(self, notice: WaitingNotice, _address: str) -> None:
         for number in notice.numbers:
             timer = self._timer_by_number.get(number)
-            if timer is not None and timer.active():
-                timer.reset(WAITING_TIMEOUT_S)
+            if timer is not None:
+                timer.restart(WAITING_TIMEOUT_S)
 
     def _withdraw(self, aggregator: Member, number: int) -> None:
         own_id = self._gossip.members.identity.id
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/request_limiter.py
@@ -19,6 +19,7 @@
 from banyanshelf_core.request_limit import StatedLimit, lower_limit
 from banyanshelf_core.request_rate import RequestRates
 from banyanshelf_daemon.gossip_link import GossipLink
+from banyanshelf_daemon.reply_timer import ReplyTimer
 from banyanshelf_daemon.service_loads import ServiceLoads
 
 # A caller waits at most this long for a keeper.
@@ -115,13 +116,12 @@
         )
         result: Deferred[LimitReply | None] = Deferred()
         self._waiting_by_number[number] = result
-        timer = self._reactor.callLater(QUERY_TIMEOUT_S, self._expire, number)
+        timer = ReplyTimer(self._reactor, QUERY_TIMEOUT_S, lambda: self._expire(number))
         self._gossip.send_to([keeper.address], query)
 
         def finished(reply: Any) -> Any:
             self._waiting_by_number.pop(number, None)
-            if timer.active():
-                timer.cancel()
+            timer.cancel()
             return reply
 
         return result.addBoth(finished)
