Place a call once when its query is delivered twice

Cause: A repeated query placed a second call under the same number, and the first one was never ended. A repeated reply counted as late, so that the aggregator took a running call for cancelled.

Change: The aggregator ignores a query whose number waits or is placed. A gateway ends no call that is running because of a late reply.

Conclusion: Repeated datagrams no longer keep slots or free them early.

--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -75,3 +75,11 @@
   Scenario: A reply that has arrived in time is read by a gateway that stalls
     When one gateway stalls for 0.1 s while the reply to its call arrives
     Then the call is placed by the aggregator
+
+  # Guards against slots that stay taken as the network has delivered a query twice.
+  Scenario: A query that is delivered twice places one call
+    When every placement datagram is delivered twice
+    And all gateways together place 18 calls
+    Then the aggregator counts 18 calls
+    When all calls end
+    Then the aggregator counts 0 calls
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -6,7 +6,7 @@
 from simulated_admissions import SERVICE, AdmissionZone, Directory
 from twisted.internet.defer import Deferred
 
-from banyanshelf_core.datagrams import WaitingNotice
+from banyanshelf_core.datagrams import PlacementQuery, PlacementReply, WaitingNotice
 from banyanshelf_core.model import LoadReport, UpstreamState
 from banyanshelf_wire.datagram import encode_datagram
 
@@ -353,3 +353,16 @@
     assert call.permit is not None, call.error
     placed = context.zone.sharings[call.name].aggregator_placed_calls()
     assert placed == [call.permit.number], (placed, call.permit)
+
+
+@when("every placement datagram is delivered twice")
+def step_twice(context):
+    for link in context.zone.links.values():
+        for datagram_type in (PlacementQuery, PlacementReply):
+            handler = link._handler_by_type[datagram_type]
+
+            def deliver(datagram, address, handler=handler):
+                handler(datagram, address)
+                context.zone.reactor.callLater(0.0005, handler, datagram, address)
+
+            link.on_datagram(datagram_type, deliver)
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -231,6 +231,9 @@
                 self._end(sender, number, AnswerKind.CANCELLED, 0)
 
     def _on_query(self, query: PlacementQuery, address: str) -> None:
+        if self._is_duplicate(query):
+            log.info("ignoring a repeated placement query of {}", query.sender)
+            return
         now = self._reactor.seconds()
         placement_request = PlacementRequest(
             query.work_class,
@@ -263,6 +266,12 @@
             if not self._notice_task.is_running:
                 self._notice_task.start(WAITING_NOTICE_PERIOD_S)
 
+    def _is_duplicate(self, query: PlacementQuery) -> bool:
+        """Whether the network has delivered a query twice."""
+        return query.number in self._waiting_by_sender.get(
+            query.sender, {}
+        ) or query.number in self._placed_by_sender.get(query.sender, {})
+
     def _notice(self, numbers: list[int]) -> WaitingNotice:
         return WaitingNotice(self._gossip.members.identity.id, numbers)
 
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -149,11 +149,7 @@
             lambda: self._queues.is_used(),
         )
         self._client = PlacementClient(reactor, gossip)
-        self._client.on_late_answer(
-            lambda number: self._sharing.publish_call_end(
-                number, AnswerKind.CANCELLED, 0
-            )
-        )
+        self._client.on_late_answer(self._end_late_placement)
         self._server = PlacementServer(
             reactor,
             gossip,
@@ -297,6 +293,11 @@
         )
         return reply.addCallbacks(placed, not_placed)
 
+    def _end_late_placement(self, number: int) -> None:
+        """End a call at the aggregator unless the reply is a repeated one."""
+        if number not in self._call_by_number:
+            self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
+
     def _place_for_peer(
         self,
         service_name: ServiceName,
