Refuse queued calls whose placement fails unexpectedly

Cause: A placement error other than a refusal left the call held, so that it was neither tried again nor refused. A call was also refused at once when the request limits were used up, although it had time left.

Change: The call is released first. It goes on waiting if it was not admitted, and the review refuses it once it has no turn in time. Any other error, also one that is raised at once, is logged and refuses the call.

Conclusion: No queued call is held after its placement has failed.

--- a/features/daemon/waiting_calls.feature
+++ b/features/daemon/waiting_calls.feature
@@ -44,3 +44,20 @@
     Given "all" callers ask for 3 times the room
     When calls are played for 8 s with seed 6
     Then no caller waits longer than its target before it is refused
+
+  # Guards against a call that is held for ever after an unexpected error.
+  Scenario Outline: A call whose placement fails is refused
+    Given an idle zone where the next placement fails <how>
+    When a "usual" caller asks with 1.5 s left
+    Then the caller is refused with "placement failed"
+
+    Examples:
+      | how            |
+      | at once        |
+      | after a moment |
+
+  # Guards against a refusal of a call that has time left for another try.
+  Scenario: A call goes on waiting when request limits are used up
+    Given an idle zone where the next placement finds the request limits used up
+    When a "usual" caller asks with 1.5 s left
+    Then the caller gets room at the next review
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from logbook import Logger
-from twisted.internet.defer import Deferred, fail
+from twisted.internet.defer import Deferred, fail, maybeDeferred
 from twisted.python.failure import Failure
 
 from banyanshelf_core.model import ServiceName
@@ -56,6 +56,8 @@
 
 # The configuration has dropped the service while calls waited for it.
 NOT_SERVED = Refused("service not served", NO_UPSTREAM_RETRY_AFTER_S)
+# An unexpected error while a call is placed; the log has its traceback.
+PLACEMENT_FAILED = Refused("placement failed", NO_UPSTREAM_RETRY_AFTER_S)
 
 log = Logger("queue")
 
@@ -302,7 +304,9 @@
     ) -> None:
         """Place a call at the upstream that ``choose`` returns."""
         call.is_held = True
-        pending = self._placer.place(selector, call.request, choose)
+        pending: Deferred[Reservation] = maybeDeferred(
+            self._placer.place, selector, call.request, choose
+        )
         pending.addCallbacks(
             lambda reservation: self._placed(queue, selector, call, reservation),
             lambda failure: self._not_placed(queue, call, failure),
@@ -333,11 +337,13 @@
     def _not_placed(
         self, queue: _ServiceQueue, call: WaitingCall, failure: Failure
     ) -> None:
-        failure.trap(NotAdmittedError)
         call.is_held = False
-        if failure.value.retry_after_s:
-            reason, retry_after_s = failure.value.reason, failure.value.retry_after_s
-            self._refuse(queue, call, Refused(reason, retry_after_s))
+        if failure.check(NotAdmittedError):
+            # The room was taken or limits are used up: the call waits for its turn, and
+            # the next review refuses it if it has none in time.
+            return
+        log.error("cannot place a queued call: {}", failure.getTraceback())
+        self._refuse(queue, call, PLACEMENT_FAILED)
 
     def _refuse(
         self, queue: _ServiceQueue, call: WaitingCall, refused: Refused
