Count the end of a call whose service has been dropped

Cause: The end of a call returned before the count of calls placed by the aggregator was reduced if its service was gone, so the count stayed.

Change: The count is reduced first.

Conclusion: Dropped services leave no count behind.

--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -69,3 +69,9 @@
     When one gateway places a call
     And its upstream becomes slow
     Then the gateway is notified that the call is late
+
+  # Guards against a count of calls that grows as services are dropped with calls running.
+  Scenario: A call ends after its service has been dropped
+    When one gateway places a call
+    And its service is dropped before the call ends
+    Then its gateway counts no call as placed by the aggregator
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -325,3 +325,19 @@
 @then("each of the waiting calls still waits at the aggregator")
 def step_still_waits(context):
     assert not any(each.permit or each.error for each in context.waiting[1:])
+
+
+@when("its service is dropped before the call ends")
+def step_drop_service(context):
+    [call] = context.calls
+    admission = context.zone.sharings[call.name]
+    assert admission._aggregator_placed_by_upstream
+    del admission.loads.selector_by_service[SERVICE]
+    call.end()
+
+
+@then("its gateway counts no call as placed by the aggregator")
+def step_no_placed_count(context):
+    [call] = context.calls
+    found = context.zone.sharings[call.name]._aggregator_placed_by_upstream
+    assert not found, found
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -366,6 +366,10 @@
         if running is None:
             log.warning("permit {} was released twice", permit.number)
             return
+        if running.is_placed_by_aggregator:
+            self._aggregator_placed_by_upstream[sample.upstream] -= 1
+            if not self._aggregator_placed_by_upstream[sample.upstream]:
+                del self._aggregator_placed_by_upstream[sample.upstream]
         selector = self.loads.selector_by_service.get(running.service_name)
         if selector is None:
             return
@@ -374,9 +378,6 @@
         selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
         self._queues.room_freed(running.service_name)
         if running.is_placed_by_aggregator:
-            self._aggregator_placed_by_upstream[sample.upstream] -= 1
-            if not self._aggregator_placed_by_upstream[sample.upstream]:
-                del self._aggregator_placed_by_upstream[sample.upstream]
             self._sharing.publish_call_end(
                 permit.number, AnswerKind(sample.kind), sample.service_time_us
             )
