Place calls that the aggregator sent elsewhere without a queue

Cause: If the aggregator named an upstream that the gateway knows to be leaving or paused, the gateway queued the call by itself, without knowing who else waits. It used the selector from before the query.

Change: Such a call is placed or refused at once by the current selector, and refused if the service is no longer served.

Conclusion: Only the aggregator queues calls of a large zone.

--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -75,3 +75,11 @@
     When one gateway places a call
     And its service is dropped before the call ends
     Then its gateway counts no call as placed by the aggregator
+
+  # Guards against calls that wait at a gateway which does not know who else waits.
+  Scenario: A call whose upstream is known to be evacuated does not wait at its gateway
+    Given 10 gateways whose calls wait for room at 4 upstreams of 4 slots
+    When all gateways but the aggregator hear that 3 upstreams are evacuated
+    And the other gateways together place 12 calls
+    And the other gateways together place 12 calls
+    Then no call waits at a gateway other than the aggregator
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -341,3 +341,13 @@
     [call] = context.calls
     found = context.zone.sharings[call.name]._aggregator_placed_by_upstream
     assert not found, found
+
+
+@then("no call waits at a gateway other than the aggregator")
+def step_no_own_queue(context):
+    queued = [
+        name
+        for name in _others(context)
+        if context.zone.sharings[name]._queues.waiting_count()
+    ]
+    assert not queued, queued
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -271,7 +271,14 @@
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
                 # The aggregator has counted the call.
                 counted = placement_request._replace(counts_toward_quota=False)
-                return self._place(service_name, selector, counted, on_late)
+                current = self.loads.selector_by_service.get(service_name)
+                if current is None:
+                    raise NotAdmittedError(
+                        "service not served", NO_UPSTREAM_RETRY_AFTER_S
+                    )
+                return self._place(
+                    service_name, current, counted, on_late, may_wait=False
+                )
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
             attempt = _running_attempt(upstream.id, progress_s, placement_request)
