--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -366,3 +366,29 @@
                 context.zone.reactor.callLater(0.0005, handler, datagram, address)
 
             link.on_datagram(datagram_type, deliver)
+
+
+@when("its service is dropped before the call ends")
+def step_drop_service(context):
+    [call] = context.calls
+    admission = context.zone.sharings[call.name]
+    assert admission._aggregator_placed_by_upstream
+    del admission.loads.selector_by_service[SERVICE]
+    call.end()
+
+
+@then("its gateway counts no call as placed by the aggregator")
+def step_no_placed_count(context):
+    [call] = context.calls
+    found = context.zone.sharings[call.name]._aggregator_placed_by_upstream
+    assert not found, found
+
+
+@then("no call waits at a gateway other than the aggregator")
+def step_no_own_queue(context):
+    queued = [
+        name
+        for name in _others(context)
+        if context.zone.sharings[name]._queues.waiting_count()
+    ]
+    assert not queued, queued
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -268,7 +268,14 @@
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
                 # The aggregator has counted the call.
                 counted = placement_request._replace(counts_toward_quota=False)
-                return self._place(service_name, selector, counted, on_late)
+                current = self.loads.selector_by_service.get(service_name)
+                if current is None:
+                    raise NotAdmittedError(
+                        "service not served", NO_UPSTREAM_RETRY_AFTER_S
+                    )
+                return self._place(
+                    service_name, current, counted, on_late, may_wait=False
+                )
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
             attempt = _running_attempt(upstream.id, progress_s, placement_request)
@@ -368,6 +375,10 @@
         if running is None:
             log.warning("permit {} was released twice", permit.number)
             return
+        if running.is_placed_by_aggregator:
+            self._aggregator_placed_by_upstream[sample.upstream] -= 1
+            if not self._aggregator_placed_by_upstream[sample.upstream]:
+                del self._aggregator_placed_by_upstream[sample.upstream]
         selector = self.loads.selector_by_service.get(running.service_name)
         if selector is None:
             return
@@ -376,9 +387,6 @@
         selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
         self._queues.room_freed(running.service_name)
         if running.is_placed_by_aggregator:
-            self._aggregator_placed_by_upstream[sample.upstream] -= 1
-            if not self._aggregator_placed_by_upstream[sample.upstream]:
-                del self._aggregator_placed_by_upstream[sample.upstream]
             self._sharing.publish_call_end(
                 permit.number, AnswerKind(sample.kind), sample.service_time_us
             )
