--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/caller_connection.py
@@ -36,6 +36,8 @@
 LINGER_BYTES = 16 * 1024 * 1024
 # Rank of connections that callers keep for their next requests; see displacement_rank.
 KEPT_RANK = 2
+# A request may be on its way on a connection that was used more recently.
+MIN_UNUSED_S = 1.0
 # Retry-After of requests that are refused for lack of memory or connections.
 BUSY_RETRY_AFTER_S = 1.0
 
@@ -64,6 +66,7 @@
         self._is_serving = False
         self._is_closing = False
         self._is_lingering = False
+        self._is_write_closed = False
         self._is_read_paused = False
         self._dropped_bytes = 0
         # Start of the present wait for the caller; the limits that apply to it are read
@@ -88,7 +91,7 @@
         if self._is_closing:
             self._dropped_bytes += len(data)
             if self._dropped_bytes > LINGER_BYTES:
-                self.transport.abortConnection()
+                self._end_close()
             return
         if self._exchange is None and not (
             self._reader.received or self.is_write_paused
@@ -109,7 +112,8 @@
         self.transport.connectionLost(Failure(ConnectionDone()))
 
     def writeConnectionLost(self) -> None:  # noqa: N802
-        """Wait for the caller to close, as all bytes have been sent."""
+        """Wait for the caller to close, as the kernel has all bytes to send."""
+        self._is_write_closed = True
         self._closes_at = self.factory.now() + LINGER_S
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
@@ -198,20 +202,37 @@
     def displacement_rank(self) -> tuple[int, float] | None:
         """Return how soon this connection makes room for others, lowest first.
 
-        Callers that are waited for come first, and those that keep a connection for
-        their next request last; None while a request is served.
+        Connections whose last answer has been sent come first, and those that callers
+        keep for their next request last; None while a request is served or answered,
+        or may be on its way.
         """
         if self._is_closing:
-            return (0, self._closes_at) if self._is_lingering else None
+            return (0, self._closes_at) if self._is_write_closed else None
         if self._exchange is not None or self.is_write_paused:
             return None
-        if not self._reader.is_idle:
-            return 1, max(self._waits_since, self._holding.progressed_at)
-        return (KEPT_RANK if self._answer_count else 1), self._waits_since
+        if self._reader.is_idle:
+            rank = KEPT_RANK if self._answer_count else 1
+            used_at = self._waits_since
+        else:
+            rank, used_at = 1, max(self._waits_since, self._holding.progressed_at)
+        if self.factory.now() - used_at < MIN_UNUSED_S:
+            return None
+        return rank, used_at
+
+    def displace(self) -> bool:
+        """Make room for another connection, which needs the descriptor at once.
 
-    def displace(self) -> None:
-        """Make room for another connection, which needs the descriptor at once."""
+        Return False, and stay open, if more of a request has arrived meanwhile.
+        """
+        if not self._is_closing:
+            if has_unread_data(self.transport):
+                return False
+            if not (self._reader.is_idle and self._answer_count):
+                self._write_refusal(RequestError(503, "too many connections"))
+                # The kernel must have the refusal before the connection is closed.
+                self.transport.doWrite()
         self.transport.connectionLost(Failure(ConnectionDone()))
+        return True
 
     def refuse_for_memory(self, detail: str) -> None:
         """Refuse the request that is being received, for lack of memory."""
@@ -221,7 +242,7 @@
         """Close a connection that has been idle, or slow to send or read, too long."""
         if self._is_closing:
             if now >= self._closes_at:
-                self.transport.abortConnection()
+                self._end_close()
             return
         waited_s = now - self._waits_since
         if self.is_write_paused:
@@ -338,6 +359,14 @@
         self._begin_close()
         self.transport.loseConnection()
 
+    def _end_close(self) -> None:
+        """Close without waiting for the caller any longer."""
+        if self._is_write_closed:
+            # An abort would discard what the kernel has not sent yet.
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
     def _begin_close(self) -> None:
         self._is_closing = True
         self._closes_at = self.factory.now() + SLOW_READER_TIMEOUT_S
