Return the quota of a placed call that its gateway withdraws

Cause: A withdrawal ended waiting calls only. If the reply was lost or late, the gateway placed the call itself and charged its workspace again.

Change: A withdrawal ends a placed call as cancelled and gives the request back to the quota.

Conclusion: A lost reply charges a workspace once.

--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -76,6 +76,12 @@
     When one gateway stalls for 0.1 s while the reply to its call arrives
     Then the call is placed by the aggregator
 
+  # Guards against a quota that is charged twice for a call whose reply was lost.
+  Scenario: A call whose reply was lost is placed and charged once
+    When one gateway places a call whose reply is lost
+    Then the aggregator gives back the quota of 1 call
+    And the aggregator counts 1 calls
+
   # Guards against slots that stay taken as the network has delivered a query twice.
   Scenario: A query that is delivered twice places one call
     When every placement datagram is delivered twice
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -366,3 +366,19 @@
                 context.zone.reactor.callLater(0.0005, handler, datagram, address)
 
             link.on_datagram(datagram_type, deliver)
+
+
+@when("one gateway places a call whose reply is lost")
+def step_lose_reply(context):
+    zone, name = context.zone, _others(context)[0]
+    context.given_back = []
+    zone.sharings[zone.aggregator()].quotas.give_back = context.given_back.append
+    zone.links[name].on_datagram(PlacementReply, lambda _reply, _address: None)
+    context.calls = [zone.place(name)]
+    zone.settle(0.085)
+    assert context.calls[0].permit is not None, context.calls[0].error
+
+
+@then("the aggregator gives back the quota of {count:d} call")
+def step_given_back(context, count):
+    assert len(context.given_back) == count, context.given_back
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -164,6 +164,7 @@
 
 class _PeerCall(NamedTuple):
     permit: Permit
+    request: PlacementRequest
     placed_at: float
 
 
@@ -177,7 +178,8 @@
 
     ``place`` places a call, possibly after a wait, or fails with
     :class:`NotAdmittedError`; it returns None for an unknown service. ``release``
-    releases the permit of a call that has ended. ``is_queue_used`` returns whether the
+    releases the permit of a call that has ended. ``give_back_quota`` is called for a
+    call that was placed and never sent. ``is_queue_used`` returns whether the
     calls of a service may wait.
     """
 
@@ -191,12 +193,14 @@
         ],
         release: Callable[[Permit, AnswerSample], None],
         is_queue_used: Callable[[ServiceName], bool],
+        give_back_quota: Callable[[PlacementRequest], None],
     ) -> None:
         self._reactor = reactor
         self._gossip = gossip
         self._place = place
         self._is_queue_used = is_queue_used
         self._release = release
+        self._give_back_quota = give_back_quota
         self._placed_by_sender: dict[MemberId, dict[int, _PeerCall]] = {}
         self._waiting_by_sender: dict[MemberId, dict[int, _WaitingPeerCall]] = {}
         self._notice_task = PeriodicTask(reactor, self._repeat_notices, "wait notices")
@@ -257,7 +261,7 @@
         waiting = self._waiting_by_sender.setdefault(query.sender, {})
         waiting[number] = _WaitingPeerCall(pending, address)
         pending.addBoth(self._wait_over, query)
-        pending.addCallback(self._placed, query, address)
+        pending.addCallback(self._placed, query, placement_request, address)
         pending.addErrback(self._refused, number, address)
         # A Deferred that waits for another one counts as called.
         is_waiting = number in self._waiting_by_sender.get(query.sender, {})
@@ -296,10 +300,22 @@
         call = calls.get(withdrawal.number)
         if call is not None:
             call.pending.cancel()
+            return
+        placed = self._placed_by_sender.get(withdrawal.sender, {})
+        unsent = placed.get(withdrawal.number)
+        if unsent is not None:
+            self._end(withdrawal.sender, withdrawal.number, AnswerKind.CANCELLED, 0)
+            self._give_back_quota(unsent.request)
 
-    def _placed(self, permit: Permit, query: PlacementQuery, address: str) -> None:
+    def _placed(
+        self,
+        permit: Permit,
+        query: PlacementQuery,
+        request: PlacementRequest,
+        address: str,
+    ) -> None:
         calls = self._placed_by_sender.setdefault(query.sender, {})
-        calls[query.number] = _PeerCall(permit, self._reactor.seconds())
+        calls[query.number] = _PeerCall(permit, request, self._reactor.seconds())
         answer = PlacementReply(
             query.number,
             True,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -156,6 +156,7 @@
             self._place_for_peer,
             self.release,
             lambda service_name: self._queues.is_enabled(service_name),
+            lambda placement_request: self.quotas.give_back(placement_request),
         )
         gossip.on_datagram(LateCallNotice, self._on_call_late)
         self._limiter = RequestLimiter(reactor, gossip, self.loads, rng)
