--- a/packages/banyanshelf-core/src/banyanshelf_core/evacuated_zones.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/evacuated_zones.py
@@ -29,8 +29,8 @@
     evacuation that only the copy lists counts, because the operators see it there.
 
     Example:
-        After ``zones.add("huye")``, ``zones.names()`` contains ``"huye"`` until
-        ``zones.remove("huye")``, and after ``zones.forget(now, "huye")`` for a time.
+        After ``zones.add("b")``, ``zones.names()`` contains ``"b"`` until
+        ``zones.remove("b")``, and after ``zones.forget(now, "b")`` for a time.
 
     """
 
