Count limited and cold upstreams at the rate that they take

Cause: The service rate counted an upstream with a request limit by its slots between grants and not at all while the limit was used up, and a cold one at its full speed.

Change: Each upstream counts with the lower of its slot rate and its limit, also while the limit is used up; a cold one with its slower service time.

Conclusion: Turns are estimated from what limited upstreams take. The factor of cold upstreams has no scenario of its own.

--- a/features/daemon/waiting_calls.feature
+++ b/features/daemon/waiting_calls.feature
@@ -61,3 +61,14 @@
     Given an idle zone where the next placement finds the request limits used up
     When a "usual" caller asks with 1.5 s left
     Then the caller gets room at the next review
+
+  # Guards against a queue that counts on more, or less, than limited upstreams take.
+  Scenario Outline: The service rate respects request limits
+    Given 4 idle upstreams that state a limit of 2 requests per second
+    When their limits are <state>
+    Then the service rate is 8 calls per second
+
+    Examples:
+      | state         |
+      | not used up   |
+      | used up       |
--- a/features/steps/queued_call_steps.py
+++ b/features/steps/queued_call_steps.py
@@ -6,6 +6,8 @@
 from twisted.internet.task import deferLater
 
 from banyanshelf_core.placement.decisions import PlacementRequest
+from banyanshelf_core.placement.room import service_rate
+from banyanshelf_core.request_limit import StatedLimit
 from banyanshelf_daemon.call_queue import REVIEW_PERIOD_S
 from banyanshelf_daemon.interfaces import NotAdmittedError
 
@@ -66,3 +68,29 @@
     context.zone.clock.advance(REVIEW_PERIOD_S)
     [failure] = context.outcomes
     assert failure.value.reason == reason, failure
+
+
+@given("{count:d} idle upstreams that state a limit of {limit:g} requests per second")
+def step_stated_limits(context, count, limit):
+    context.zone = zone = ScarceRoom([], seed=1, upstreams=count)
+    for load in zone.selector.loads_by_id.values():
+        load.note_limit(StatedLimit(limit, 0.0))
+
+
+@when("their limits are not used up")
+def step_limits_left(context):
+    assert not any(
+        each.is_limited(0.0) for each in context.zone.selector.loads_by_id.values()
+    )
+
+
+@when("their limits are used up")
+def step_limits_used(context):
+    for load in context.zone.selector.loads_by_id.values():
+        load.limited_until = 0.5
+
+
+@then("the service rate is {expected:g} calls per second")
+def step_service_rate(context, expected):
+    found = service_rate(0.0, context.zone.selector, 0.1)
+    assert abs(found - expected) < 1e-9, found
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -10,7 +10,9 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from banyanshelf_core.model import UpstreamState
 from banyanshelf_core.placement.choice import (
+    COLD_START_FACTOR,
     MIN_CROSS_ZONE_GAIN,
     NEARLY_FULL_SHARE,
     RESPONSE_MARGIN_S,
@@ -55,10 +57,15 @@
 def service_rate(now: float, selector: PlacementSelector, work_s: float) -> float:
     """Return the calls per second, of ``work_s`` seconds each, that the zone ends."""
     per_s = 0.0
-    for load in _usable_here(now, selector):
+    for load in selector.local_loads():
+        if not load.takes_calls(now) and not _is_only_limited(now, load):
+            continue
         slots = efficient_slots(load, selector.estimate.full_factor)
+        slot_work_s = work_s * (COLD_START_FACTOR if now < load.cold_until else 1.0)
         age_s = now - load.reported_at
-        per_s += slots / selector.pace.service_s(work_s, load.rate, age_s)
+        slots_per_s = slots / selector.pace.service_s(slot_work_s, load.rate, age_s)
+        limit_per_s = load.limit(now).per_s
+        per_s += slots_per_s if limit_per_s is None else min(slots_per_s, limit_per_s)
     return per_s
 
 
@@ -163,6 +170,13 @@
     return Refused("no zone has room in time", 0.0)
 
 
+def _is_only_limited(now: float, load: UpstreamLoad) -> bool:
+    """Whether an upstream takes calls again as soon as its limit grants a request."""
+    is_live = load.upstream.state is UpstreamState.LIVE
+    is_held_back = load.is_paused(now) or load.is_ejected(now)
+    return is_live and load.is_limited(now) and not is_held_back
+
+
 def _usable_here(now: float, selector: PlacementSelector) -> Iterator[UpstreamLoad]:
     return (each for each in selector.local_loads() if each.takes_calls(now))
 
