--- a/features/daemon/remote_placement.feature
+++ b/features/daemon/remote_placement.feature
@@ -69,3 +69,37 @@
     When one gateway places a call
     And its upstream becomes slow
     Then the gateway is notified that the call is late
+
+  # Guards against a process that has not run for a while and takes a reply that lies in
+  # its socket for lost.
+  Scenario: A reply that has arrived in time is read by a gateway that stalls
+    When one gateway stalls for 0.1 s while the reply to its call arrives
+    Then the call is placed by the aggregator
+
+  # Guards against a quota that is charged twice for a call whose reply was lost.
+  Scenario: A call whose reply was lost is placed and charged once
+    When one gateway places a call whose reply is lost
+    Then the aggregator gives back the quota of 1 call
+    And the aggregator counts 1 calls
+
+  # Guards against slots that stay taken as the network has delivered a query twice.
+  Scenario: A query that is delivered twice places one call
+    When every placement datagram is delivered twice
+    And all gateways together place 18 calls
+    Then the aggregator counts 18 calls
+    When all calls end
+    Then the aggregator counts 0 calls
+
+  # Guards against a count of calls that grows as services are dropped with calls running.
+  Scenario: A call ends after its service has been dropped
+    When one gateway places a call
+    And its service is dropped before the call ends
+    Then its gateway counts no call as placed by the aggregator
+
+  # Guards against calls that wait at a gateway which does not know who else waits.
+  Scenario: A call whose upstream is known to be evacuated does not wait at its gateway
+    Given 10 gateways whose calls wait for room at 4 upstreams of 4 slots
+    When all gateways but the aggregator hear that 3 upstreams are evacuated
+    And the other gateways together place 12 calls
+    And the other gateways together place 12 calls
+    Then no call waits at a gateway other than the aggregator
--- a/features/steps/remote_placement_steps.py
+++ b/features/steps/remote_placement_steps.py
@@ -6,7 +6,7 @@
 from simulated_admissions import SERVICE, AdmissionZone, Directory
 from twisted.internet.defer import Deferred
 
-from banyanshelf_core.datagrams import WaitingNotice
+from banyanshelf_core.datagrams import PlacementQuery, PlacementReply, WaitingNotice
 from banyanshelf_core.model import LoadReport, UpstreamState
 from banyanshelf_wire.datagram import encode_datagram
 
@@ -325,3 +325,86 @@
 @then("each of the waiting calls still waits at the aggregator")
 def step_still_waits(context):
     assert not any(each.permit or each.error for each in context.waiting[1:])
+
+
+@when("one gateway stalls for {seconds:g} s while the reply to its call arrives")
+def step_stall(context, seconds):
+    zone, name = context.zone, _others(context)[0]
+    link, unread = zone.links[name], []
+    context.calls = [zone.place(name)]
+    link.datagramReceived = lambda *datagram: unread.append(datagram)
+    zone.settle(SETTLE_TIME_S)
+
+    def read_socket():
+        del link.datagramReceived
+        for datagram in unread:
+            link.datagramReceived(*datagram)
+
+    # All timers that are due run before the socket is read.
+    stall_s = seconds - SETTLE_TIME_S
+    zone.reactor.callLater(stall_s - 1e-6, read_socket)
+    zone.reactor.advance(stall_s)
+    zone.settle(SETTLE_TIME_S)
+
+
+@then("the call is placed by the aggregator")
+def step_placed_remotely(context):
+    [call] = context.calls
+    assert call.permit is not None, call.error
+    placed = context.zone.sharings[call.name].aggregator_placed_calls()
+    assert placed == [call.permit.number], (placed, call.permit)
+
+
+@when("every placement datagram is delivered twice")
+def step_twice(context):
+    for link in context.zone.links.values():
+        for datagram_type in (PlacementQuery, PlacementReply):
+            handler = link._handler_by_type[datagram_type]
+
+            def deliver(datagram, address, handler=handler):
+                handler(datagram, address)
+                context.zone.reactor.callLater(0.0005, handler, datagram, address)
+
+            link.on_datagram(datagram_type, deliver)
+
+
+@when("its service is dropped before the call ends")
+def step_drop_service(context):
+    [call] = context.calls
+    admission = context.zone.sharings[call.name]
+    assert admission._aggregator_placed_by_upstream
+    del admission.loads.selector_by_service[SERVICE]
+    call.end()
+
+
+@then("its gateway counts no call as placed by the aggregator")
+def step_no_placed_count(context):
+    [call] = context.calls
+    found = context.zone.sharings[call.name]._aggregator_placed_by_upstream
+    assert not found, found
+
+
+@then("no call waits at a gateway other than the aggregator")
+def step_no_own_queue(context):
+    queued = [
+        name
+        for name in _others(context)
+        if context.zone.sharings[name]._queues.waiting_count()
+    ]
+    assert not queued, queued
+
+
+@when("one gateway places a call whose reply is lost")
+def step_lose_reply(context):
+    zone, name = context.zone, _others(context)[0]
+    context.given_back = []
+    zone.sharings[zone.aggregator()].quotas.give_back = context.given_back.append
+    zone.links[name].on_datagram(PlacementReply, lambda _reply, _address: None)
+    context.calls = [zone.place(name)]
+    zone.settle(0.085)
+    assert context.calls[0].permit is not None, context.calls[0].error
+
+
+@then("the aggregator gives back the quota of {count:d} call")
+def step_given_back(context, count):
+    assert len(context.given_back) == count, context.given_back
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/call_queue.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from logbook import Logger
-from twisted.internet.defer import Deferred, fail
+from twisted.internet.defer import Deferred, fail, maybeDeferred
 from twisted.python.failure import Failure
 
 from banyanshelf_core.model import ServiceName
@@ -56,6 +56,8 @@
 
 # The configuration has dropped the service while calls waited for it.
 NOT_SERVED = Refused("service not served", NO_UPSTREAM_RETRY_AFTER_S)
+# An unexpected error while a call is placed; the log has its traceback.
+PLACEMENT_FAILED = Refused("placement failed", NO_UPSTREAM_RETRY_AFTER_S)
 
 log = Logger("queue")
 
@@ -262,13 +264,15 @@
         per_s = self._rate(queue, selector)
         service_s = _service_time(now, selector)
         turns = queue.calls.turns(now, per_s, service_s)
+        # Each loan may serve calls that have found no room before.
+        has_loan = selector.loans.has_calls_left(now)
         for place, call in enumerate([*turns.in_time, *turns.late]):
             most_tries = 1 if place < len(turns.in_time) else MAX_TRIES_ELSEWHERE
-            if call.tries_elsewhere < most_tries:
+            if call.tries_elsewhere < most_tries or has_loan:
                 self._try_elsewhere(queue, selector, call, _wait_s(place, per_s))
         places = len(turns.in_time) + len(turns.late)
         for call, refused in turns.refused:
-            if call.tries_elsewhere < MAX_TRIES_ELSEWHERE:
+            if call.tries_elsewhere < MAX_TRIES_ELSEWHERE or has_loan:
                 self._try_elsewhere(queue, selector, call, _wait_s(places, per_s))
             if not call.is_held:
                 self._refuse(queue, call, refused)
@@ -302,7 +306,9 @@
     ) -> None:
         """Place a call at the upstream that ``choose`` returns."""
         call.is_held = True
-        pending = self._placer.place(selector, call.request, choose)
+        pending: Deferred[Reservation] = maybeDeferred(
+            self._placer.place, selector, call.request, choose
+        )
         pending.addCallbacks(
             lambda reservation: self._placed(queue, selector, call, reservation),
             lambda failure: self._not_placed(queue, call, failure),
@@ -318,12 +324,12 @@
         call: WaitingCall,
         reservation: Reservation,
     ) -> None:
+        now = self._reactor.seconds()
         result = queue.waiting_by_call.pop(call, None)
         if result is None:
             # The call was withdrawn while its placement was tried.
-            selector.withdraw_call(reservation.found.upstream.id)
+            selector.withdraw_call(now, reservation.found)
             return
-        now = self._reactor.seconds()
         queue.calls.remove(now, call, is_served=True)
         priority = call.request.priority
         self._metrics.count(f"{queue.metric}.placed.{priority}")
@@ -333,11 +339,13 @@
     def _not_placed(
         self, queue: _ServiceQueue, call: WaitingCall, failure: Failure
     ) -> None:
-        failure.trap(NotAdmittedError)
         call.is_held = False
-        if failure.value.retry_after_s:
-            reason, retry_after_s = failure.value.reason, failure.value.retry_after_s
-            self._refuse(queue, call, Refused(reason, retry_after_s))
+        if failure.check(NotAdmittedError):
+            # The room was taken or limits are used up: the call waits for its turn, and
+            # the next review refuses it if it has none in time.
+            return
+        log.error("cannot place a queued call: {}", failure.getTraceback())
+        self._refuse(queue, call, PLACEMENT_FAILED)
 
     def _refuse(
         self, queue: _ServiceQueue, call: WaitingCall, refused: Refused
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/remote_placement.py
@@ -43,6 +43,7 @@
     Permit,
     QuotaExceededError,
 )
+from banyanshelf_daemon.reply_timer import ReplyTimer
 
 # Within a zone a reply takes about 1 ms, and up to 30 ms more if upstreams of a remote
 # zone are probed first.
@@ -71,7 +72,7 @@
         self._reactor = reactor
         self._gossip = gossip
         self._pending_by_number: dict[int, Deferred[PlacementReply]] = {}
-        self._timer_by_number: dict[int, Any] = {}
+        self._timer_by_number: dict[int, ReplyTimer] = {}
         self._handle_late_reply: Callable[[int], None] = lambda number: None
         gossip.on_datagram(PlacementReply, self._on_reply)
         gossip.on_datagram(WaitingNotice, self._on_waiting)
@@ -112,16 +113,17 @@
             lambda _deferred: self._withdraw(aggregator, number)
         )
         self._pending_by_number[number] = result
-        timer = self._reactor.callLater(
-            PLACEMENT_TIMEOUT_S, self._expire, aggregator, number
+        timer = ReplyTimer(
+            self._reactor,
+            PLACEMENT_TIMEOUT_S,
+            lambda: self._expire(aggregator, number),
         )
         self._timer_by_number[number] = timer
 
         def finished(found: PlacementReply | Failure) -> PlacementReply | Failure:
             self._pending_by_number.pop(number, None)
             del self._timer_by_number[number]
-            if timer.active():
-                timer.cancel()
+            timer.cancel()
             return found
 
         return result.addBoth(finished)
@@ -141,8 +143,8 @@
     def _on_waiting(self, notice: WaitingNotice, _address: str) -> None:
         for number in notice.numbers:
             timer = self._timer_by_number.get(number)
-            if timer is not None and timer.active():
-                timer.reset(WAITING_TIMEOUT_S)
+            if timer is not None:
+                timer.restart(WAITING_TIMEOUT_S)
 
     def _withdraw(self, aggregator: Member, number: int) -> None:
         own_id = self._gossip.members.identity.id
@@ -162,6 +164,7 @@
 
 class _PeerCall(NamedTuple):
     permit: Permit
+    request: PlacementRequest
     placed_at: float
 
 
@@ -175,7 +178,8 @@
 
     ``place`` places a call, possibly after a wait, or fails with
     :class:`NotAdmittedError`; it returns None for an unknown service. ``release``
-    releases the permit of a call that has ended. ``is_queue_used`` returns whether the
+    releases the permit of a call that has ended. ``give_back_quota`` is called for a
+    call that was placed and never sent. ``is_queue_used`` returns whether the
     calls of a service may wait.
     """
 
@@ -189,12 +193,14 @@
         ],
         release: Callable[[Permit, AnswerSample], None],
         is_queue_used: Callable[[ServiceName], bool],
+        give_back_quota: Callable[[PlacementRequest], None],
     ) -> None:
         self._reactor = reactor
         self._gossip = gossip
         self._place = place
         self._is_queue_used = is_queue_used
         self._release = release
+        self._give_back_quota = give_back_quota
         self._placed_by_sender: dict[MemberId, dict[int, _PeerCall]] = {}
         self._waiting_by_sender: dict[MemberId, dict[int, _WaitingPeerCall]] = {}
         self._notice_task = PeriodicTask(reactor, self._repeat_notices, "wait notices")
@@ -229,6 +235,9 @@
                 self._end(sender, number, AnswerKind.CANCELLED, 0)
 
     def _on_query(self, query: PlacementQuery, address: str) -> None:
+        if self._is_duplicate(query):
+            log.info("ignoring a repeated placement query of {}", query.sender)
+            return
         now = self._reactor.seconds()
         placement_request = PlacementRequest(
             query.work_class,
@@ -252,7 +261,7 @@
         waiting = self._waiting_by_sender.setdefault(query.sender, {})
         waiting[number] = _WaitingPeerCall(pending, address)
         pending.addBoth(self._wait_over, query)
-        pending.addCallback(self._placed, query, address)
+        pending.addCallback(self._placed, query, placement_request, address)
         pending.addErrback(self._refused, number, address)
         # A Deferred that waits for another one counts as called.
         is_waiting = number in self._waiting_by_sender.get(query.sender, {})
@@ -261,6 +270,12 @@
             if not self._notice_task.is_running:
                 self._notice_task.start(WAITING_NOTICE_PERIOD_S)
 
+    def _is_duplicate(self, query: PlacementQuery) -> bool:
+        """Whether the network has delivered a query twice."""
+        return query.number in self._waiting_by_sender.get(
+            query.sender, {}
+        ) or query.number in self._placed_by_sender.get(query.sender, {})
+
     def _notice(self, numbers: list[int]) -> WaitingNotice:
         return WaitingNotice(self._gossip.members.identity.id, numbers)
 
@@ -285,10 +300,22 @@
         call = calls.get(withdrawal.number)
         if call is not None:
             call.pending.cancel()
+            return
+        placed = self._placed_by_sender.get(withdrawal.sender, {})
+        unsent = placed.get(withdrawal.number)
+        if unsent is not None:
+            self._end(withdrawal.sender, withdrawal.number, AnswerKind.CANCELLED, 0)
+            self._give_back_quota(unsent.request)
 
-    def _placed(self, permit: Permit, query: PlacementQuery, address: str) -> None:
+    def _placed(
+        self,
+        permit: Permit,
+        query: PlacementQuery,
+        request: PlacementRequest,
+        address: str,
+    ) -> None:
         calls = self._placed_by_sender.setdefault(query.sender, {})
-        calls[query.number] = _PeerCall(permit, self._reactor.seconds())
+        calls[query.number] = _PeerCall(permit, request, self._reactor.seconds())
         answer = PlacementReply(
             query.number,
             True,
--- a/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
+++ b/packages/banyanshelf-daemon/src/banyanshelf_daemon/shared_admission.py
@@ -149,17 +149,14 @@
             lambda: self._queues.is_used(),
         )
         self._client = PlacementClient(reactor, gossip)
-        self._client.on_late_answer(
-            lambda number: self._sharing.publish_call_end(
-                number, AnswerKind.CANCELLED, 0
-            )
-        )
+        self._client.on_late_answer(self._end_late_placement)
         self._server = PlacementServer(
             reactor,
             gossip,
             self._place_for_peer,
             self.release,
             lambda service_name: self._queues.is_enabled(service_name),
+            lambda placement_request: self.quotas.give_back(placement_request),
         )
         gossip.on_datagram(LateCallNotice, self._on_call_late)
         self._limiter = RequestLimiter(reactor, gossip, self.loads, rng)
@@ -177,6 +174,7 @@
             self.loads,
             self._sharing,
             self._queues.waiting_for,
+            self._queues.is_enabled,
             metrics,
         )
         self.quotas = QuotaLimiter(
@@ -271,7 +269,14 @@
                 self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
                 # The aggregator has counted the call.
                 counted = placement_request._replace(counts_toward_quota=False)
-                return self._place(service_name, selector, counted, on_late)
+                current = self.loads.selector_by_service.get(service_name)
+                if current is None:
+                    raise NotAdmittedError(
+                        "service not served", NO_UPSTREAM_RETRY_AFTER_S
+                    )
+                return self._place(
+                    service_name, current, counted, on_late, may_wait=False
+                )
             progress_s = selector.start_call(self._reactor.seconds(), upstream.id)
             self._aggregator_placed_by_upstream[upstream.id] += 1
             attempt = _running_attempt(upstream.id, progress_s, placement_request)
@@ -297,6 +302,11 @@
         )
         return reply.addCallbacks(placed, not_placed)
 
+    def _end_late_placement(self, number: int) -> None:
+        """End a call at the aggregator unless the reply is a repeated one."""
+        if number not in self._call_by_number:
+            self._sharing.publish_call_end(number, AnswerKind.CANCELLED, 0)
+
     def _place_for_peer(
         self,
         service_name: ServiceName,
@@ -366,6 +376,10 @@
         if running is None:
             log.warning("permit {} was released twice", permit.number)
             return
+        if running.is_placed_by_aggregator:
+            self._aggregator_placed_by_upstream[sample.upstream] -= 1
+            if not self._aggregator_placed_by_upstream[sample.upstream]:
+                del self._aggregator_placed_by_upstream[sample.upstream]
         selector = self.loads.selector_by_service.get(running.service_name)
         if selector is None:
             return
@@ -374,15 +388,12 @@
         selector.end_call(now, attempt.work_class, attempt.progress_s, sample)
         self._queues.room_freed(running.service_name)
         if running.is_placed_by_aggregator:
-            self._aggregator_placed_by_upstream[sample.upstream] -= 1
-            if not self._aggregator_placed_by_upstream[sample.upstream]:
-                del self._aggregator_placed_by_upstream[sample.upstream]
             self._sharing.publish_call_end(
                 permit.number, AnswerKind(sample.kind), sample.service_time_us
             )
             return
         self._publish_count(selector, sample.upstream)
-        if sample.kind not in (AnswerKind.CANCELLED, AnswerKind.SHED):
+        if sample.kind is not AnswerKind.CANCELLED:
             self._sharing.publish_result(sample.upstream, str(sample.kind))
 
     def note_load_report(self, upstream_id: UpstreamId, report: LoadReport) -> None:
