Rank upstreams by their rejections without refusing calls for them

Cause: what the rejections of an upstream cost was a part of its expected time.

Change: rejections count only where candidates are compared.

Figures: a new scenario, in which all upstreams reject calls; placement.feature and waiting_calls.feature pass.

--- a/features/core/placement.feature
+++ b/features/core/placement.feature
@@ -144,6 +144,11 @@
     When the placement sees "wait 30"
     Then calls with 200 ms left go to "a1 a2"
 
+  # Guards against calls that are refused because all upstreams reject some.
+  Scenario: Calls are placed though all upstreams reject some with slots free
+    When the placement sees "fail a1 shed; fail a1 shed; fail a2 shed; fail a2 shed; fail a1 shed; fail a2 shed"
+    Then calls with 200 ms left go to "a1 a2"
+
   # Guards against a full upstream that stays without calls after its queue has drained.
   Scenario: An upstream that rejects calls while it is full is used when it has room again
     When the placement sees "begin a1; begin a1; begin a1; fail a1 shed; fail a1 shed; end a1; end a1; end a1"
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/choice.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Collection, Mapping
+from typing import NamedTuple
 
 from banyanshelf_core.call_messages import AnswerSample
 from banyanshelf_core.model import (
@@ -86,8 +87,21 @@
     )
 
 
-# Expected time until the response, in seconds, and the upstream.
-Candidate = tuple[float, UpstreamLoad]
+class Candidate(NamedTuple):
+    """An upstream that a call may go to, and the expected time until the response.
+
+    ``avoided_s`` is what the upstream's rejections cost in comparison with others. It
+    does not say when the response comes, as a rejected call is sent elsewhere.
+    """
+
+    expected_s: float
+    load: UpstreamLoad
+    avoided_s: float = 0.0
+
+    @property
+    def rank_s(self) -> float:
+        """The time by which candidates are compared."""
+        return self.expected_s + self.avoided_s
 
 
 class PlacementSelector:
@@ -141,7 +155,8 @@
                 if each[1].reported_at >= oldest
                 or each[1].stated_limit.per_s is not None
             ]
-        expected_s, load = self._best(now, request, near, far)
+        best = self._best(now, request, near, far)
+        expected_s, load = best.expected_s, best.load
         free = load.upstream.slots - load.in_flight(now)
         if request.only_idle:
             is_idle = free - 1 >= (1 - NEARLY_FULL_SHARE) * load.upstream.slots
@@ -155,11 +170,19 @@
             return Refused(
                 "no upstream can answer in time", max(MIN_RETRY_AFTER_S, wait_s)
             )
-        return self.placed(now, (expected_s, load), len(near) + len(far))
+        return self.placed(now, best, len(near) + len(far))
+
+    def candidate(
+        self, now: float, load: UpstreamLoad, request: PlacementRequest
+    ) -> Candidate:
+        """Return an upstream as a candidate for a call."""
+        # A rejected call can still be answered elsewhere, but hardly by its target.
+        avoided_s = load.rejected_share(now) * max(0.0, request.target - now)
+        return Candidate(self.expected_s(now, load, request), load, avoided_s)
 
     def placed(self, now: float, chosen: Candidate, candidates: int) -> Placed:
         """Return the placement at an upstream, chosen from so many candidates."""
-        expected_s, load = chosen
+        expected_s, load = chosen.expected_s, chosen.load
         is_same_zone = load.upstream.zone == self._zone
         return Placed(
             load.upstream,
@@ -224,8 +247,6 @@
         wait_s = max(0.0, after - slots) * service_s / slots
         network_s = 0.0 if load.upstream.zone == self._zone else CROSS_ZONE_ROUND_TRIP_S
         failure_s = load.failure_share(now) * max(0.0, request.deadline - now)
-        # A rejected call can still be answered elsewhere, but hardly by its target.
-        failure_s += load.rejected_share(now) * max(0.0, request.target - now)
         return service_s + wait_s + network_s + failure_s
 
     def start_call(self, now: float, upstream_id: UpstreamId) -> float:
@@ -426,7 +447,7 @@
     ) -> list[Candidate]:
         """Return the usable upstreams of the local zone, or those of other zones."""
         return [
-            (self.expected_s(now, load, request), load)
+            self.candidate(now, load, request)
             for upstream_id, load in self.loads_by_id.items()
             if (load.upstream.zone == self._zone) == is_same_zone
             and upstream_id not in request.excluded
@@ -481,9 +502,9 @@
         """Return one of the fastest candidates, or None without any."""
         if not candidates:
             return None
-        least = min(each[0] for each in candidates)
+        least = min(each.rank_s for each in candidates)
         # Differences of a few percent are ignored: the selection is random among them.
-        equal = [each for each in candidates if each[0] <= 1.03 * least]
+        equal = [each for each in candidates if each.rank_s <= 1.03 * least]
         return self._rng.choice(equal)
 
 
--- a/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
+++ b/packages/banyanshelf-core/src/banyanshelf_core/placement/room.py
@@ -221,7 +221,7 @@
 ) -> list[Candidate]:
     """Return the upstreams with room; the costly estimate is made for these only."""
     return [
-        (selector.expected_s(now, load, request), load)
+        selector.candidate(now, load, request)
         for load in loads
         if load.upstream.id not in request.excluded
         and load.takes_calls(now)
