Send the hot tenant's requests of case 9 on a schedule

Cause: each step slept for the time between two requests and took time itself, so that the tenant sent some 200 requests a second in a hot spell instead of the 300 that the claim states. Change: the requests are sent on a schedule.

--- a/review/standins_2/review_standins_2/two_quota_banks.py
+++ b/review/standins_2/review_standins_2/two_quota_banks.py
@@ -45,13 +45,16 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         requests = set()
+        next_at = time.monotonic()
         with contextlib.suppress(asyncio.CancelledError):
             while True:
                 attempt = f"{len(self.sent_at):08x}"
                 host = self.rotation[len(self.sent_at) % len(self.rotation)]
                 self.sent_at[attempt] = time.monotonic()
                 requests.add(asyncio.create_task(self._request(host, attempt)))
-                await asyncio.sleep(1 / self.per_s)
+                # Without a schedule, the time of each step would lower the rate.
+                next_at += 1 / self.per_s
+                await asyncio.sleep(next_at - time.monotonic())
         await asyncio.gather(*requests)
 
     async def _request(self, host: str, attempt: str) -> None:
