--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -7,4 +7,7 @@
     echo "run deploy/build.sh and review/build-2.sh first" >&2
     exit 2
 }
-PYTHONPATH=target/review-2:target/deps exec python3 -m "review_standins_2.$2" "$folder"
+PYTHONPATH=target/review-2:target/deps:target/app
+export PYTHONPATH
+python3 -c "import review_standins_2.$2" || exit 2
+exec python3 -m "review_standins_2.$2" "$folder"
