--- a/review/standins_2/review_standins_2/split_zone.py
+++ b/review/standins_2/review_standins_2/split_zone.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import random
+import re
 import signal
 import time
 from collections import Counter
 
 from banyanshelf_core.hashing import rank_members
 from review_standins_2.case import Record, run_case
-from review_standins_2.deployment import Deployment, running_deployment
+from review_standins_2.deployment import (
+    CONTROL_PORT,
+    Deployment,
+    running_deployment,
+)
 from review_standins_2.two_quota_banks import (
     HOT_PER_S,
     HOT_S,
@@ -23,7 +28,7 @@
     most_in_window,
 )
 
-GATEWAYS, FURTHER_GATEWAYS = 24, 2
+GATEWAYS, FURTHER_GATEWAYS, SEEDS = 24, 2, 3
 # A herd_kill of the site file has 0.55 of the gateways. The platform starts them again
 # after a short delay.
 KILLED, RESTART_S = 12, 0.2
@@ -42,12 +47,23 @@
         """The gateways of the first zone."""
         return self.gateway_hosts[:GATEWAYS]
 
+    @property
+    def ranked_hosts(self) -> list[str]:
+        """The gateways of the first zone as they rank each other."""
+        nodes = [f"edge-{host}" for host in self.zone_hosts]
+        ranked = rank_members(RANKING_KEY, nodes)
+        return [node.removeprefix("edge-") for node in ranked]
+
+    @property
+    def seed_hosts(self) -> list[str]:
+        """The gateways that each one greets first: no aggregator and no successor."""
+        return self.ranked_hosts[-SEEDS:]
+
     def _settings(self, host: str) -> str:
-        settings = (
-            super()
-            ._settings(host)
-            .replace("[network.zones]\n", '[network.zones]\nzone-b = "region-a"\n')
-        )
+        seeds = ", ".join(f'"{each}:{CONTROL_PORT}"' for each in self.seed_hosts)
+        settings = re.sub(
+            r"(?m)^seeds = .*$", f"seeds = [{seeds}]", super()._settings(host)
+        ).replace("[network.zones]\n", '[network.zones]\nzone-b = "region-a"\n')
         if host in self.zone_hosts:
             return settings
         return settings.replace('zone = "zone-a"', 'zone = "zone-b"')
@@ -66,12 +82,13 @@
 def kill_herd(deployment: TwoZones, record: Record) -> None:
     """Kill a share of the gateways at once, the bank among them; start them again."""
     bank = aggregators(deployment).most_common(1)[0][0]
-    nodes = [f"edge-{host}" for host in deployment.zone_hosts]
-    ranked = [node.removeprefix("edge-") for node in rank_members(RANKING_KEY, nodes)]
-    # The groups form if the gateway that takes its place is not killed as well.
-    successor = next(host for host in ranked if host != bank)
-    others = [host for host in deployment.zone_hosts if host not in (bank, successor)]
-    herd = [bank, *random.sample(others, KILLED - 1)]
+    # The groups form if the gateway that takes its place is not killed as well. They
+    # seldom meet if those that are greeted first are all in one of them.
+    successor = next(host for host in deployment.ranked_hosts if host != bank)
+    herd = [bank, *(host for host in deployment.seed_hosts if host != bank)]
+    spared = {*herd, successor}
+    others = [host for host in deployment.zone_hosts if host not in spared]
+    herd += random.sample(others, KILLED - len(herd))
     for host in herd:
         deployment.gateways[host].send_signal(signal.SIGKILL)
     record.note("killed", gateways=herd, bank=bank, successor=successor)
