--- a/review/standins_2/review_standins_2/site.py
+++ b/review/standins_2/review_standins_2/site.py
@@ -238,14 +238,18 @@
     return line[:size]
 
 
-def serve(settings_path: str, store_type: type[PlatformStore] = PlatformStore) -> None:
+def serve(
+    settings_path: str,
+    store_type: type[PlatformStore] = PlatformStore,
+    upstream_type: type[Upstream] = Upstream,
+) -> None:
     """Serve the store and the upstreams that a JSON file describes."""
     with open(settings_path, "rb") as file:
         settings = msgspec.json.decode(file.read())
     store = store_type(settings["store"])
     journal = Journal(settings["journal"])
     upstreams = [
-        Upstream(instance, address, journal, store)
+        upstream_type(instance, address, journal, store)
         for instance, address in settings["upstreams"].items()
     ]
     for key, value in settings["items"].items():
